--- /dev/null
+++ b/crates/oriolehoist_admission/src/retry.rs
@@ -0,0 +1,36 @@
+/// Bounds how many requests are sent again, as a share of those sent for the first time.
+///
+/// Without a bound, a failing server would receive ever more of the same requests.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    hundredths: u64,
+}
+
+/// The cost of one retry, in hundredths.
+const COST: u64 = 100;
+/// The greatest saving: this many retries at once.
+const MOST_RETRIES: u64 = 10;
+
+impl Default for RetryBudget {
+    fn default() -> RetryBudget {
+        RetryBudget { hundredths: MOST_RETRIES * COST }
+    }
+}
+
+impl RetryBudget {
+    /// Notes a first attempt, which earns `percent` hundredths of a retry.
+    pub fn on_first_attempt(&mut self, percent: u64) {
+        self.hundredths = (self.hundredths + percent).min(MOST_RETRIES * COST);
+    }
+
+    /// Spends one retry, if there is one.
+    pub fn try_spend(&mut self) -> bool {
+        match self.hundredths.checked_sub(COST) {
+            Some(rest) => {
+                self.hundredths = rest;
+                true
+            }
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_daemon/src/control/actor.rs
@@ -0,0 +1,177 @@
+use {
+    crate::{
+        control::{
+            cell::{Cell, budget_of, timing_of},
+            election::{Attempt, attempt},
+            message::PeerPlan,
+            peers::Peers,
+            publish::Publisher,
+            settings::SettingsInForce,
+        },
+        process::Shared,
+    },
+    kameo::{Actor, actor::ActorRef},
+    oriolehoist_protocol::{Heard, PeerHello, Resignation, ServerAddress, ServerName, ServiceName},
+    oriolehoist_settings::Service,
+    oriolehoist_time::Millis,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+/// The actor that holds all control state of a daemon.
+#[derive(Actor)]
+pub(crate) struct Control {
+    pub(super) cx: Arc<Shared>,
+    pub(super) settings: SettingsInForce,
+    pub(super) peers: Peers,
+    pub(super) cells: BTreeMap<ServiceName, Cell>,
+    publisher: Publisher,
+    pub(super) stopping: bool,
+}
+
+impl Control {
+    pub(crate) fn new(cx: Arc<Shared>, seeds: &[SocketAddr]) -> Control {
+        let mut peers = Peers::default();
+        peers.learn(cx.clock.now(), cx.me.address, seeds.iter().copied());
+        Control {
+            cx,
+            settings: SettingsInForce::default(),
+            peers,
+            cells: BTreeMap::new(),
+            publisher: Publisher::default(),
+            stopping: false,
+        }
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.cx.clock.now()
+    }
+
+    /// Publishes what the traffic threads use.
+    pub(super) fn publish(&mut self) {
+        if let Some(settings) = self.settings.settings() {
+            let version = self.settings.version();
+            let leaving = self.peers.leaving_servers();
+            self.publisher.publish(&self.cx, version, settings, &self.cells, leaving);
+        }
+    }
+
+    /// Makes a cell for each service that is split by key, and drops the others.
+    pub(super) fn adjust_cells(&mut self) {
+        let Some(settings) = self.settings.settings().cloned() else { return };
+        let now = self.now();
+        let incarnation = self.cx.me.incarnation;
+        let is_keyed = |name: &ServiceName| settings.services.get(name).is_some_and(|s| s.keyed);
+        self.cells.retain(|name, _| is_keyed(name));
+        for (name, service) in settings.services.iter().filter(|(_, s)| s.keyed) {
+            let timing = timing_of(&settings.timing_of(service));
+            let budget = budget_of(&settings.placement_of(service));
+            self.cells.entry(name.clone()).or_insert_with(|| {
+                Cell::new(now, incarnation, name.clone(), service.shards, timing, budget)
+            });
+        }
+    }
+
+    pub(super) fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.settings.settings().and_then(|settings| settings.services.get(name))
+    }
+
+    pub(super) fn servers_of(&self, name: &ServiceName) -> Vec<ServerAddress> {
+        let targets = self.service(name).into_iter().flat_map(|service| &service.targets);
+        targets
+            .map(|(name, target)| ServerAddress { name: name.clone(), address: target.address })
+            .collect()
+    }
+
+    /// Returns the servers of a service that get no new work.
+    pub(super) fn leaving_of(&self, name: &ServiceName) -> Vec<ServerName> {
+        let listed: &BTreeSet<ServerName> = self.peers.leaving_servers();
+        self.service(name)
+            .map(|service| super::publish::leaving_of(service, listed).into_iter().collect())
+            .unwrap_or_default()
+    }
+
+    /// Takes a silent assigner's place, if it is this daemon's turn.
+    pub(super) fn consider_take_over(&mut self, name: &ServiceName, me: &ActorRef<Control>) {
+        let now = self.now();
+        let rank = self.peers.rank(now, &self.cx.me, name);
+        let Some(cell) = self.cells.get_mut(name) else { return };
+        if self.stopping || cell.attempting || !cell.follower.should_take_over(now, rank) {
+            return;
+        }
+        // An assigner that most others still hear is cut off from this daemon only.
+        let since = now.since(cell.follower.heard_ago(now)) + cell.timing.heartbeat * 2;
+        let hearing = self.peers.hearing(now, name, since);
+        if hearing.hear > hearing.miss {
+            return;
+        }
+        let attempt =
+            Attempt::TakeOver { peers: self.peers.witnesses(now), servers: self.servers_of(name) };
+        self.start_attempt(name, attempt, me);
+    }
+
+    pub(super) fn start_attempt(
+        &mut self,
+        name: &ServiceName,
+        what: Attempt,
+        me: &ActorRef<Control>,
+    ) {
+        let Some(cell) = self.cells.get_mut(name) else { return };
+        cell.attempting = true;
+        tokio::spawn(attempt(Arc::clone(&self.cx), me.clone(), name.clone(), what));
+    }
+
+    /// Returns who this daemon is and what it holds.
+    pub(super) fn hello(&self) -> PeerHello {
+        let now = self.now();
+        let heard = |cell: &Cell| Heard {
+            service: cell.service.clone(),
+            ago: cell.follower.record().map(|_| cell.follower.heard_ago(now)),
+            assignment: (cell.follower.assignment().term, cell.follower.assignment().version),
+        };
+        let mut known: Vec<SocketAddr> = self.peers.addresses().collect();
+        known.push(self.cx.me.address);
+        PeerHello {
+            witness: self.cx.me.clone(),
+            zone: self.cx.zone.clone(),
+            leaving: self.stopping,
+            settings: self.settings.version(),
+            known,
+            heard: self.cells.values().map(heard).collect(),
+        }
+    }
+
+    /// Decides whom to greet, and which peer knows something better.
+    ///
+    /// A daemon that the assigner does not reach takes the assignment from another that it does.
+    pub(super) fn peer_plan(&self) -> PeerPlan {
+        let now = self.now();
+        let unheard = |cell: &&Cell| cell.follower.heard_ago(now) > cell.timing.lost_after;
+        let source = |cell: &Cell| {
+            let address = self.peers.newest_assignment(now, &cell.service)?;
+            Some((cell.service.clone(), address))
+        };
+        PeerPlan {
+            greet: self.peers.addresses().collect(),
+            settings_from: self.peers.newer_settings(now, self.settings.version()),
+            assignments_from: self.cells.values().filter(unheard).filter_map(source).collect(),
+        }
+    }
+
+    /// Hands every role over, so that others need not wait for this daemon's silence.
+    pub(super) fn resign(&mut self) {
+        self.stopping = true;
+        for cell in self.cells.values_mut() {
+            let Some(assigner) = cell.assigner.take() else { continue };
+            let term = assigner.record().term;
+            let resignation = Resignation { service: cell.service.clone(), term };
+            for address in self.peers.addresses() {
+                let (cx, message) = (Arc::clone(&self.cx), resignation.clone());
+                tokio::spawn(super::send::resign(cx, address, message));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_daemon/src/listener/operators.rs
@@ -0,0 +1,51 @@
+use {
+    crate::{
+        control::{AskStatus, Control, Reply},
+        process::Shared,
+    },
+    axum::{
+        Json, Router,
+        extract::State,
+        http::StatusCode,
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    kameo::actor::ActorRef,
+    std::sync::Arc,
+};
+
+#[derive(Clone)]
+struct OperatorsState {
+    cx: Arc<Shared>,
+    control: ActorRef<Control>,
+}
+
+/// Makes the routes for operators and their tools.
+pub(crate) fn operators_router(cx: Arc<Shared>, control: ActorRef<Control>) -> Router {
+    Router::new()
+        .route("/status", get(status))
+        .route("/metrics", get(metrics))
+        .route("/why", post(why))
+        .with_state(OperatorsState { cx, control })
+}
+
+async fn status(State(state): State<OperatorsState>) -> Response {
+    match state.control.ask(AskStatus).await {
+        Ok(Reply(status)) => Json(status).into_response(),
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
+
+async fn metrics(State(state): State<OperatorsState>) -> Response {
+    match state.cx.metrics.render(state.cx.store.calls()) {
+        Ok(text) => text.into_response(),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+    }
+}
+
+async fn why(State(state): State<OperatorsState>, receipt: String) -> Response {
+    match state.cx.keys.verify(&receipt) {
+        Ok(receipt) => Json(receipt).into_response(),
+        Err(error) => (StatusCode::BAD_REQUEST, error.to_string()).into_response(),
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_daemon/src/process/daemon.rs
@@ -0,0 +1,213 @@
+use {
+    crate::{
+        control::{Control, Stop, spawn_tasks},
+        listener::{operators_router, peers_router},
+        process::{Event, Shared, keys::read_keys, report},
+        request::callers_router,
+    },
+    axum::Router,
+    eyre::WrapErr,
+    kameo::{Actor, actor::ActorRef},
+    oriolehoist_platform::{InstanceList, Store},
+    oriolehoist_protocol::{Incarnation, Witness},
+    oriolehoist_settings::InstanceFile,
+    oriolehoist_time::Clock,
+    std::{
+        future::Future,
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        thread,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        runtime::{Builder, Handle, Runtime},
+        sync::{oneshot, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// How long a stopping daemon goes on taking requests, so that the balancer notices.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2000);
+/// The longest wait for the requests in flight.
+const IN_FLIGHT_WAIT: Duration = Duration::from_secs(120);
+/// How many threads serve callers.
+const TRAFFIC_THREADS: usize = 2;
+
+/// A daemon, in one state of its life: [`Configured`] or [`Running`].
+pub struct Daemon<S> {
+    state: S,
+}
+
+/// The daemon knows what it needs in order to start.
+pub struct Configured {
+    file: InstanceFile,
+}
+
+/// The daemon serves.
+pub struct Running {
+    cx: Arc<Shared>,
+    control: ActorRef<Control>,
+    /// Set when listeners must take no more connections.
+    close: watch::Sender<bool>,
+    callers_done: Option<oneshot::Receiver<()>>,
+    end_control: Option<oneshot::Sender<()>>,
+    control_thread: Option<thread::JoinHandle<()>>,
+    traffic: Option<Runtime>,
+}
+
+impl Daemon<Configured> {
+    /// Takes an instance file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two listeners share an address.
+    pub fn configure(file: InstanceFile) -> eyre::Result<Daemon<Configured>> {
+        let shared = file.callers == file.peers
+            || file.callers == file.operators
+            || file.peers == file.operators;
+        eyre::ensure!(!shared, "callers, peers and operators need an address each");
+        Ok(Daemon { state: Configured { file } })
+    }
+
+    /// Opens the listeners and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a listener can't be opened or a thread can't be started.
+    pub async fn start(self) -> eyre::Result<Daemon<Running>> {
+        let file = self.state.file;
+        let me = Witness {
+            instance: file.instance.clone(),
+            incarnation: Incarnation(fastrand::u64(1..)),
+            address: file.advertised.unwrap_or(file.peers),
+        };
+        let source = file.peers.ip();
+        let cx = Arc::new(Shared::new(
+            Clock::start(),
+            source,
+            me,
+            file.zone.clone(),
+            Store::new(source, file.store)?,
+            InstanceList::new(source, file.instances)?,
+            read_keys(&file.receipt_keys),
+        )?);
+        let (close, closed) = watch::channel(false);
+        let (end_control, control_ended) = oneshot::channel();
+        let (started_tx, started) = oneshot::channel();
+        let (thread_cx, thread_file, thread_closed) =
+            (Arc::clone(&cx), file.clone(), closed.clone());
+        let control_thread = thread::Builder::new().name("control".into()).spawn(move || {
+            run_control(thread_cx, &thread_file, thread_closed, started_tx, control_ended);
+        })?;
+        let control = started.await.wrap_err("the control thread ended")??;
+        let traffic = Builder::new_multi_thread()
+            .worker_threads(TRAFFIC_THREADS)
+            .thread_name("traffic")
+            .enable_all()
+            .build()?;
+        let callers = bind(file.callers).await?;
+        let (done_tx, callers_done) = oneshot::channel();
+        let router = callers_router(Arc::clone(&cx));
+        traffic.spawn(async move {
+            serve(callers, router, closed).await;
+            let _ = done_tx.send(());
+        });
+        let text = format_args!("{} in {}, callers at {}", file.instance, file.zone, file.callers);
+        report(Event::Started, text);
+        Ok(Daemon {
+            state: Running {
+                cx,
+                control,
+                close,
+                callers_done: Some(callers_done),
+                end_control: Some(end_control),
+                control_thread: Some(control_thread),
+                traffic: Some(traffic),
+            },
+        })
+    }
+}
+
+impl Daemon<Running> {
+    /// Stops gracefully: turns unready, hands its roles over, lets the balancer notice, finishes
+    /// what is in flight, and ends.
+    pub async fn stop(mut self) {
+        report(Event::Stopping, format_args!("{}", self.state.cx.me.instance));
+        self.state.cx.stopping.store(true, Ordering::Relaxed);
+        let _ = self.state.control.ask(Stop).await;
+        sleep(BALANCER_NOTICE).await;
+        let _ = self.state.close.send(true);
+        if let Some(done) = self.state.callers_done.take() {
+            let _ = timeout(IN_FLIGHT_WAIT, done).await;
+        }
+        report(Event::Stopped, format_args!("{}", self.state.cx.me.instance));
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.close.send(true);
+        drop(self.end_control.take());
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+        if let Some(thread) = self.control_thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Runs the control thread until `ended` is dropped.
+fn run_control(
+    cx: Arc<Shared>,
+    file: &InstanceFile,
+    closed: watch::Receiver<bool>,
+    started: oneshot::Sender<eyre::Result<ActorRef<Control>>>,
+    ended: oneshot::Receiver<()>,
+) {
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return drop(started.send(Err(error.into()))),
+    };
+    runtime.block_on(async move {
+        let control = open_control(&cx, file, closed).await;
+        let _ = started.send(control);
+        let _ = ended.await;
+    });
+}
+
+async fn open_control(
+    cx: &Arc<Shared>,
+    file: &InstanceFile,
+    closed: watch::Receiver<bool>,
+) -> eyre::Result<ActorRef<Control>> {
+    let peers = bind(file.peers).await?;
+    let operators = bind(file.operators).await?;
+    let control = Control::spawn(Control::new(Arc::clone(cx), &file.seeds));
+    spawn_tasks(cx, &control);
+    let handle = Handle::current();
+    let router = peers_router(Arc::clone(cx), control.clone());
+    handle.spawn(serve(peers, router, closed.clone()));
+    let router = operators_router(Arc::clone(cx), control.clone());
+    handle.spawn(serve(operators, router, closed));
+    Ok(control)
+}
+
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("can't listen at {address}"))
+}
+
+/// Serves until `closed` is set and what is in flight has ended.
+fn serve(
+    listener: TcpListener,
+    router: Router,
+    mut closed: watch::Receiver<bool>,
+) -> impl Future<Output = ()> {
+    let serve = axum::serve(listener, router).with_graceful_shutdown(async move {
+        let _ = closed.wait_for(|closed| *closed).await;
+    });
+    async move {
+        let _ = serve.await;
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_ownership/src/assigner/mod.rs
@@ -0,0 +1,539 @@
+//! The state machine of the daemon that holds a service's term.
+
+mod event;
+mod predecessor;
+mod server;
+mod shard;
+mod status;
+mod vouching;
+
+pub use {
+    event::{Effect, Event},
+    oriolehoist_placement::ServerIndex,
+    status::{AssignerStatus, ServerStatus},
+};
+
+use {
+    crate::{
+        Timing,
+        assigner::{
+            predecessor::Predecessors,
+            server::ServerEntry,
+            shard::{Phase, ShardEntry},
+            vouching::Vouching,
+        },
+    },
+    oriolehoist_placement::{
+        Candidate, MoveBudget, PlacementInput, ServerLoads, choose_owner, plan,
+    },
+    oriolehoist_protocol::{
+        Assignment, AssignmentDelta, Epoch, HeartbeatAnswer, HeldGrant, InstanceName, Order,
+        OrderBody, OrderOutcome, RouteState, ServerAnswer, ServerName, ShardChange, ShardGrant,
+        ShardId, Term, TermRecord, Version,
+    },
+    oriolehoist_time::Millis,
+};
+
+/// Time between two plans that move shards for balance.
+const BALANCE_INTERVAL: Millis = Millis(500);
+
+/// Assigns the shards of one service under one term, or under a run of its own successive terms.
+///
+/// Drive it with [`Assigner::step`]; it answers with the messages to send. Sending late, twice or
+/// never is safe: a renewal counts from a time that the server gave, not from when it arrives.
+#[derive(Debug)]
+pub struct Assigner {
+    timing: Timing,
+    budget: MoveBudget,
+    record: TermRecord,
+    vouching: Vouching,
+    predecessors: Predecessors,
+    servers: Vec<ServerEntry>,
+    shards: Vec<ShardEntry>,
+    last_epoch: Epoch,
+    version: Version,
+    settled: bool,
+    stepped_down: bool,
+    moved: u64,
+    balanced: Millis,
+}
+
+impl Assigner {
+    /// Starts assigning under `record`, which this daemon has just written to the store.
+    ///
+    /// `known` is the newest assignment that could be found. It is only a preference: it says
+    /// which server to try first, never who owns a shard.
+    pub fn new(
+        now: Millis,
+        timing: Timing,
+        budget: MoveBudget,
+        record: TermRecord,
+        known: &Assignment,
+    ) -> Assigner {
+        let servers: Vec<_> = record.servers.iter().map(ServerEntry::new).collect();
+        let index_of = |name: &ServerName| servers.iter().position(|s| s.name() == name);
+        let shards = known
+            .shards
+            .iter()
+            .map(|route| {
+                let last = index_of(&route.server).map(ServerIndex);
+                ShardEntry::unclaimed(last, route, record.term == Term(1))
+            })
+            .collect();
+        Assigner {
+            vouching: Vouching::new(&record, timing, now),
+            predecessors: Predecessors::new(&record, timing),
+            last_epoch: Epoch { term: record.term, sequence: 0 },
+            timing,
+            budget,
+            record,
+            servers,
+            shards,
+            version: Version(1),
+            settled: false,
+            stepped_down: false,
+            moved: 0,
+            balanced: now,
+        }
+    }
+
+    /// Takes one event at `now` and returns what to do.
+    pub fn step(&mut self, now: Millis, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.stepped_down {
+            return effects;
+        }
+        let ticked = matches!(event, Event::Tick);
+        match event {
+            Event::Tick => {}
+            Event::ServerAnswered { server, answer } => self.on_server(now, server, &answer),
+            Event::Revoked { server, grants, answer } => self.on_revoked(server, &answer, &grants),
+            Event::Heartbeat { from, sent, answer } => self.on_heartbeat(&from, sent, &answer),
+            Event::TermAccepted { from, answer } => {
+                self.predecessors.on_accepted(now, &from, self.record.term, &answer);
+                self.step_down_below(answer.accepted);
+            }
+            Event::ServersLeaving(names) => self.set_leaving(&names),
+            Event::Weights(weights) => self.set_weights(&weights),
+        }
+        if self.stepped_down {
+            effects.push(Effect::StepDown);
+            return effects;
+        }
+        self.advance(now, ticked, &mut effects);
+        effects
+    }
+
+    /// Goes on under a new record of the same holder: other witnesses, other servers, or none
+    /// unsettled any more.
+    pub fn continue_under(&mut self, now: Millis, record: TermRecord) {
+        let higher = record.term > self.record.term;
+        for address in &record.servers {
+            match self.servers.iter_mut().find(|s| s.name() == &address.name) {
+                Some(entry) => entry.set_address(address.address),
+                None => self.servers.push(ServerEntry::new(address)),
+            }
+        }
+        for entry in &mut self.servers {
+            let named = record.servers.iter().any(|s| s.name == *entry.name());
+            entry.set_removed(!named);
+        }
+        if higher {
+            self.vouching = Vouching::new(&record, self.timing, now);
+            self.last_epoch = Epoch { term: record.term, sequence: 0 };
+            self.settled = false;
+            // Routes are versioned within a term, so every one counts as changed.
+            self.version = Version(1);
+            for shard in &mut self.shards {
+                shard.touch(self.version);
+            }
+        }
+        self.record = record;
+    }
+
+    /// Returns the record in force.
+    pub fn record(&self) -> &TermRecord {
+        &self.record
+    }
+
+    /// Returns whether a majority of the witnesses vouches for this assigner at `now`.
+    pub fn is_vouched(&self, now: Millis) -> bool {
+        self.vouching.holds(now)
+    }
+
+    /// Returns the witnesses that have not vouched for `silence`.
+    pub fn silent_witnesses(&self, now: Millis, silence: Millis) -> usize {
+        self.vouching.silent(now, silence)
+    }
+
+    /// Returns the present version of the assignment.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns how a peer that holds `held` under this term learns the present version.
+    pub fn delta_since(&self, held: Version) -> Option<AssignmentDelta> {
+        let base = (held > Version::default()).then_some(held);
+        let changed = |shard: &ShardEntry| base.is_none_or(|base| shard.changed_at() > base);
+        let changes = self
+            .shard_ids()
+            .zip(&self.shards)
+            .filter(|(_, shard)| changed(shard))
+            .map(|(shard, entry)| ShardChange { shard, route: entry.route(&self.servers) });
+        (held < self.version).then(|| AssignmentDelta {
+            base,
+            version: self.version,
+            shard_count: u32::try_from(self.shards.len()).unwrap_or(u32::MAX),
+            changes: changes.collect(),
+        })
+    }
+
+    /// Returns the whole assignment, for the store.
+    pub fn assignment(&self) -> Assignment {
+        Assignment {
+            service: self.record.service.clone(),
+            term: self.record.term,
+            version: self.version,
+            shards: self.shards.iter().map(|s| s.route(&self.servers)).collect(),
+        }
+    }
+
+    /// Returns where a server takes orders.
+    pub fn address_of(&self, server: ServerIndex) -> std::net::SocketAddr {
+        self.servers[server.0].address()
+    }
+
+    /// Returns a summary for operators and metrics.
+    pub fn status(&self, now: Millis) -> AssignerStatus {
+        let weights: Vec<u64> = self.shards.iter().map(ShardEntry::weight).collect();
+        AssignerStatus {
+            service: self.record.service.clone(),
+            term: self.record.term,
+            vouched: self.is_vouched(now),
+            settled: self.settled,
+            unowned_shards: self.shards.iter().filter(|s| !s.is_confirmed()).count(),
+            moved_shards: self.moved,
+            servers: self
+                .servers
+                .iter()
+                .enumerate()
+                .map(|(index, entry)| {
+                    let owned = |s: &&ShardEntry| s.owner() == Some(ServerIndex(index));
+                    ServerStatus {
+                        name: entry.name().clone(),
+                        reachable: entry.is_reachable(now, &self.timing),
+                        leaving: entry.is_leaving(),
+                        shards: self.shards.iter().filter(owned).count(),
+                        load: entry.load(),
+                    }
+                })
+                .collect(),
+            weights,
+        }
+    }
+
+    fn on_server(&mut self, now: Millis, server: ServerIndex, answer: &ServerAnswer) {
+        self.step_down_below(answer.highest_term);
+        let fenced = answer.highest_term == self.record.term;
+        let restarted = self.servers[server.0].on_answer(now, fenced, answer);
+        if restarted {
+            self.free_shards_of(server);
+        }
+        match answer.outcome {
+            OrderOutcome::Accepted if fenced => {
+                self.adopt_held(now, server, &answer.held);
+                self.confirm(server, answer.list);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes a server's word that the work in flight under these grants has ended.
+    fn on_revoked(&mut self, server: ServerIndex, answer: &ServerAnswer, grants: &[ShardGrant]) {
+        if answer.outcome != OrderOutcome::Accepted || answer.highest_term != self.record.term {
+            return;
+        }
+        for grant in grants {
+            let version = self.version.next();
+            let Some(shard) = self.shards.get_mut(grant.shard.index()) else { continue };
+            if shard.finish_move(server, grant.epoch) {
+                shard.touch(version);
+                self.version = version;
+                self.servers[server.0].change_list();
+            }
+        }
+    }
+
+    fn on_heartbeat(&mut self, from: &InstanceName, sent: Millis, answer: &HeartbeatAnswer) {
+        self.step_down_below(answer.accepted);
+        if answer.vouched {
+            self.vouching.on_vouched(from, answer.incarnation, sent);
+        }
+    }
+
+    fn step_down_below(&mut self, seen: Term) {
+        self.stepped_down |= seen > self.record.term;
+    }
+
+    fn set_leaving(&mut self, names: &[ServerName]) {
+        for entry in &mut self.servers {
+            entry.set_leaving(names.contains(entry.name()));
+        }
+    }
+
+    fn set_weights(&mut self, weights: &[u64]) {
+        for (shard, weight) in self.shards.iter_mut().zip(weights) {
+            shard.set_weight(*weight);
+        }
+    }
+
+    /// Takes over the live grants that a server reports, which an earlier assigner gave it.
+    fn adopt_held(&mut self, now: Millis, server: ServerIndex, held: &[HeldGrant]) {
+        for HeldGrant { grant, ending } in held {
+            let Some(shard) = self.shards.get_mut(grant.shard.index()) else { continue };
+            if shard.adopt(now, server, grant.epoch, *ending) {
+                let version = self.version.next();
+                shard.touch(version);
+                self.version = version;
+                self.servers[server.0].change_list();
+                self.servers[server.0].extend_bound(self.timing.at_most(self.timing.grant) + now);
+            }
+        }
+    }
+
+    fn confirm(&mut self, server: ServerIndex, list: u64) {
+        let version = self.version.next();
+        let mut changed = false;
+        for shard in &mut self.shards {
+            if shard.confirm(server, list) {
+                shard.touch(version);
+                changed = true;
+            }
+        }
+        if changed {
+            self.version = version;
+        }
+    }
+
+    /// Frees every shard of a server whose grants have certainly ended without its co-operation.
+    fn free_shards_of(&mut self, server: ServerIndex) {
+        let version = self.version.next();
+        for shard in self.shards.iter_mut().filter(|s| s.owner() == Some(server)) {
+            shard.free_after_loss();
+            shard.touch(version);
+        }
+        self.version = version;
+        self.servers[server.0].change_list();
+    }
+
+    fn advance(&mut self, now: Millis, ticked: bool, effects: &mut Vec<Effect>) {
+        self.predecessors.ask(now, self.record.term, effects);
+        self.release_unclaimed(now);
+        self.mark_lost(now);
+        self.free_lapsed(now);
+        if self.is_vouched(now) {
+            self.grant_free(now);
+        }
+        if ticked {
+            self.forget_losses(now);
+        }
+        if ticked && self.is_vouched(now) {
+            self.plan_moves(now);
+            self.send_revocations(now, effects);
+        }
+        self.send_orders(now, effects);
+        self.settle(now, effects);
+    }
+
+    /// Frees the shards that no server claims, once no server can hold them under an earlier term.
+    fn release_unclaimed(&mut self, now: Millis) {
+        let all_fenced = self.servers.iter().all(ServerEntry::is_fenced);
+        if !all_fenced && !self.predecessors.are_over(now) {
+            return;
+        }
+        for shard in &mut self.shards {
+            shard.release();
+        }
+    }
+
+    fn forget_losses(&mut self, now: Millis) {
+        let version = self.version.next();
+        let mut changed = false;
+        for shard in self.shards.iter_mut() {
+            if shard.forget_loss(now) {
+                shard.touch(version);
+                changed = true;
+            }
+        }
+        if changed {
+            self.version = version;
+        }
+    }
+
+    fn mark_lost(&mut self, now: Millis) {
+        let version = self.version.next();
+        let mut changed = false;
+        for shard in &mut self.shards {
+            let Some(ServerIndex(owner)) = shard.owner() else { continue };
+            let lost = !self.servers[owner].is_reachable(now, &self.timing);
+            if shard.set_lost(lost) {
+                shard.touch(version);
+                changed = true;
+            }
+        }
+        if changed {
+            self.version = version;
+        }
+    }
+
+    fn free_lapsed(&mut self, now: Millis) {
+        for index in 0..self.servers.len() {
+            let server = ServerIndex(index);
+            let entry = &self.servers[index];
+            let lapsed = entry.has_lapsed(now) && !entry.is_reachable(now, &self.timing);
+            if lapsed && self.shards.iter().any(|s| s.owner() == Some(server)) {
+                self.free_shards_of(server);
+            }
+        }
+    }
+
+    fn grant_free(&mut self, now: Millis) {
+        if !self.shards.iter().any(ShardEntry::is_free) {
+            return;
+        }
+        let mut loads = ServerLoads::of(&self.placement_input(now));
+        for shard in self.shards.iter_mut().filter(|s| s.is_free()) {
+            let Some(server) = choose_owner(&mut loads, shard.weight(), shard.preferred()) else {
+                break;
+            };
+            self.last_epoch = self.last_epoch.next();
+            self.version = self.version.next();
+            let list = self.servers[server.0].change_list();
+            self.moved += u64::from(shard.last_owner().is_some_and(|last| last != server));
+            shard.grant(now, server, self.last_epoch, list);
+            shard.touch(self.version);
+        }
+    }
+
+    /// Starts moves: at once off leaving servers, and at intervals for balance.
+    fn plan_moves(&mut self, now: Millis) {
+        let leaving = self.servers.iter().any(ServerEntry::is_leaving);
+        let idle = self.shards.iter().all(ShardEntry::is_confirmed);
+        let due = idle && now.since(self.balanced) >= BALANCE_INTERVAL;
+        let moves = match due {
+            true => self.budget.moves,
+            false => 0,
+        };
+        if !due && !leaving {
+            return;
+        }
+        if due {
+            self.balanced = now;
+        }
+        let input = self.placement_input(now);
+        for next in plan(&input, MoveBudget { moves, ..self.budget }) {
+            let version = self.version.next();
+            let shard = &mut self.shards[next.shard.index()];
+            if shard.start_move(next.to) {
+                shard.touch(version);
+                self.version = version;
+            }
+        }
+    }
+
+    fn placement_input(&self, now: Millis) -> PlacementInput {
+        let candidate = |entry: &ServerEntry| Candidate {
+            eligible: entry.is_fenced() && entry.is_reachable(now, &self.timing),
+            leaving: entry.is_leaving(),
+        };
+        PlacementInput {
+            owners: self.shards.iter().map(ShardEntry::planned_owner).collect(),
+            weights: self.shards.iter().map(ShardEntry::weight).collect(),
+            servers: self.servers.iter().map(candidate).collect(),
+        }
+    }
+
+    fn send_revocations(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        for index in 0..self.servers.len() {
+            let server = ServerIndex(index);
+            let grants = self.grants_of(|phase| match phase {
+                Phase::Revoking { from, epoch, .. } if *from == server => Some(*epoch),
+                _ => None,
+            });
+            if grants.is_empty() || !self.servers[index].revocation_due(now, &self.timing) {
+                continue;
+            }
+            let body = OrderBody::Revoke { grants };
+            effects.push(self.order(server, body));
+        }
+    }
+
+    fn send_orders(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        let vouched = self.is_vouched(now);
+        for index in 0..self.servers.len() {
+            let server = ServerIndex(index);
+            let entry = &self.servers[index];
+            if !entry.order_due(now, &self.timing) {
+                continue;
+            }
+            let body = match entry.echo(now, &self.timing) {
+                Some(echo) if vouched && entry.is_fenced() => OrderBody::Renew {
+                    echo: echo.time,
+                    incarnation: echo.incarnation,
+                    length: self.timing.grant,
+                    list: entry.list(),
+                    grants: entry.needs_list().then(|| self.granted_to(server)),
+                },
+                _ => OrderBody::Probe,
+            };
+            let renews = matches!(body, OrderBody::Renew { .. });
+            self.servers[index].on_order_sent(now, renews, &self.timing);
+            effects.push(self.order(server, body));
+        }
+    }
+
+    fn granted_to(&self, server: ServerIndex) -> Vec<ShardGrant> {
+        self.grants_of(|phase| match phase {
+            Phase::Granted { server: owner, epoch, .. }
+            | Phase::Revoking { from: owner, epoch, .. }
+                if *owner == server =>
+            {
+                Some(*epoch)
+            }
+            _ => None,
+        })
+    }
+
+    fn grants_of(&self, epoch_of: impl Fn(&Phase) -> Option<Epoch>) -> Vec<ShardGrant> {
+        self.shard_ids()
+            .zip(&self.shards)
+            .filter_map(|(shard, entry)| {
+                epoch_of(entry.phase()).map(|epoch| ShardGrant { shard, epoch })
+            })
+            .collect()
+    }
+
+    fn order(&self, server: ServerIndex, body: OrderBody) -> Effect {
+        Effect::Send {
+            server,
+            order: Order { service: self.record.service.clone(), term: self.record.term, body },
+        }
+    }
+
+    /// Reports once that no earlier holder can renew anything any more.
+    fn settle(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if self.predecessors.are_over(now) && !self.settled {
+            self.settled = true;
+            effects.push(Effect::Settled);
+        }
+    }
+
+    fn shard_ids(&self) -> impl Iterator<Item = ShardId> + use<> {
+        (0..u32::try_from(self.shards.len()).unwrap_or(u32::MAX)).map(ShardId)
+    }
+
+    /// Returns how a route looks to a request, for tests and status.
+    pub fn route_state(&self, shard: ShardId) -> Option<RouteState> {
+        self.shards.get(shard.index()).map(|s| s.route(&self.servers).state)
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_platform/src/lib.rs
@@ -0,0 +1,32 @@
+//! Clients of the platform: its key-value service and its list of instances.
+//!
+//! The key-value service offers compare-and-swap, leases and watches, and has outages. Every call
+//! is counted by kind, since the service bounds how many it takes.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), oriolehoist_platform::StoreError> {
+//! use oriolehoist_platform::{Revision, Store};
+//!
+//! let local = std::net::Ipv4Addr::LOCALHOST;
+//! let store = Store::new(local.into(), (local, 7000).into())?;
+//! let written = store.compare_and_swap("term/mareas-live", Revision::ABSENT, "{}").await?;
+//! # let _ = written;
+//! # Ok(())
+//! # }
+//! ```
+
+mod calls;
+mod error;
+mod instances;
+mod message;
+mod store;
+
+pub use {
+    calls::{CallCounts, CallKind},
+    error::StoreError,
+    instances::{Instance, InstanceList, InstanceRole, InstanceState},
+    message::{
+        CasRequest, Entry, LeaseGranted, LeaseId, LeaseRequest, Revision, WatchAnswer, WatchRequest,
+    },
+    store::{Store, Swap},
+};
--- /dev/null
+++ b/crates/oriolehoist_protocol/src/lib.rs
@@ -0,0 +1,37 @@
+//! Identifiers and messages shared by the processes: daemons, backend servers and the platform.
+//!
+//! Everything here is plain data. Messages between daemons, and orders to backend servers, travel
+//! as MessagePack over HTTP; records in the platform's key-value service are JSON.
+//!
+//! ```
+//! use oriolehoist_protocol::{Epoch, ShardId, Term};
+//!
+//! let first = Epoch::first(Term(1));
+//! assert!(first < first.next());
+//! assert!(first.next() < Epoch::first(Term(2)));
+//! assert_eq!(ShardId::of_key("bar", 1), ShardId(0));
+//! ```
+
+mod assignment;
+mod header;
+mod id;
+mod peer;
+mod record;
+mod server;
+
+pub use {
+    assignment::{Assignment, AssignmentDelta, RouteState, ShardChange, ShardRoute},
+    header::{
+        ATTEMPT, CLASS, DEADLINE_MS, EPOCH, EXCHANGE, INCARNATION, KEY, NOT_RUN, RECEIPT, REFUSAL,
+        REQUEST_ID, RUN_STATE, SHARD, TENANT,
+    },
+    id::{
+        Epoch, Incarnation, InstanceName, ServerName, ServiceName, ShardId, Term, Version, ZoneName,
+    },
+    peer::{
+        AcceptAnswer, AcceptTerm, Heard, Heartbeat, HeartbeatAnswer, PeerHello, Resignation,
+        SuspectNotice,
+    },
+    record::{ServerAddress, TermRecord, Witness, majority},
+    server::{HeldGrant, LoadReport, Order, OrderBody, OrderOutcome, ServerAnswer, ShardGrant},
+};
--- /dev/null
+++ b/crates/oriolehoist_settings/src/document/cross.rs
@@ -0,0 +1,101 @@
+use {
+    crate::{Position, Problem, Problems, Service, Settings, document::Node},
+    std::collections::HashMap,
+};
+
+/// The time that the users allow for a key to be served again, in milliseconds.
+const SERVED_AGAIN_MS: u64 = 2000;
+/// What is left of that time for messages and scheduling, in milliseconds.
+const MESSAGES_MS: u64 = 200;
+
+/// Checks the rules that reach across branches.
+///
+/// # Errors
+///
+/// Returns every place that breaks one.
+pub(super) fn check(root: &Node, settings: &Settings) -> Result<(), Problems> {
+    let mut cx = Cx { root, problems: Vec::new() };
+    for (name, service) in &settings.services {
+        cx.check_targets(name.as_str(), service, settings);
+        cx.check_bindings(name.as_str(), service);
+        cx.check_timing(name.as_str(), service, settings);
+    }
+    cx.check_addresses(settings);
+    Problems::none_or(cx.problems, ())
+}
+
+struct Cx<'a> {
+    root: &'a Node,
+    problems: Vec<Problem>,
+}
+
+impl Cx<'_> {
+    fn check_targets(&mut self, name: &str, service: &Service, settings: &Settings) {
+        for (target, value) in &service.targets {
+            if !settings.zones.contains(&value.zone) {
+                let path = ["services", name, "targets", target.as_str(), "zone"];
+                let zones: Vec<&str> =
+                    settings.zones.iter().map(oriolehoist_protocol::ZoneName::as_str).collect();
+                let expected = format!("an availability zone of \"zones\": {}", zones.join(", "));
+                self.report(&path, expected, format!("\"{}\"", value.zone));
+            }
+        }
+    }
+
+    fn check_bindings(&mut self, name: &str, service: &Service) {
+        for (index, binding) in service.bindings.iter().enumerate() {
+            let at = index.to_string();
+            for target in binding.targets.iter().filter(|t| !service.targets.contains_key(t)) {
+                let path = ["services", name, "bindings", &at];
+                let expected = "targets of the same service".to_owned();
+                self.report(&path, expected, format!("\"{target}\""));
+            }
+            if !service.keyed {
+                let path = ["services", name, "bindings", &at];
+                let expected = "no binding in a service that isn't split by key".to_owned();
+                self.report(&path, expected, "a binding".to_owned());
+            }
+        }
+    }
+
+    fn check_timing(&mut self, name: &str, service: &Service, settings: &Settings) {
+        let timing = settings.timing_of(service);
+        let sum = timing.lost_after_ms + timing.voucher_ms + timing.grant_ms;
+        let path = ["services", name];
+        if sum > SERVED_AGAIN_MS - MESSAGES_MS {
+            let most = SERVED_AGAIN_MS - MESSAGES_MS;
+            let expected = format!("lost_after_ms + voucher_ms + grant_ms of at most {most}");
+            self.report(&path, expected, sum.to_string());
+        }
+        if timing.renewal_ms * 3 > timing.grant_ms {
+            let expected = "a renewal_ms of at most a third of grant_ms".to_owned();
+            self.report(&path, expected, timing.renewal_ms.to_string());
+        }
+        if timing.heartbeat_ms * 2 > timing.voucher_ms {
+            let expected = "a heartbeat_ms of at most half of voucher_ms".to_owned();
+            self.report(&path, expected, timing.heartbeat_ms.to_string());
+        }
+    }
+
+    fn check_addresses(&mut self, settings: &Settings) {
+        let mut owners = HashMap::new();
+        for (name, service) in &settings.services {
+            for (target, value) in &service.targets {
+                if let Some(other) = owners.insert(value.address, target) {
+                    let path = ["services", name.as_str(), "targets", target.as_str(), "address"];
+                    let expected = "an address of its own".to_owned();
+                    self.report(&path, expected, format!("the address of \"{other}\""));
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, path: &[&str], expected: String, found: String) {
+        // The nearest branch that the document contains gives the position.
+        let position = (0..=path.len())
+            .rev()
+            .find_map(|length| self.root.at(&path[..length]))
+            .map_or(Position::default(), |node| node.position);
+        self.problems.push(Problem { position, path: path.join("."), expected, found });
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_settings/src/document/mod.rs
@@ -0,0 +1,65 @@
+//! From text to checked settings: parsing with positions, shapes, and rules across branches.
+
+mod check;
+mod cross;
+mod node;
+mod schema;
+
+pub(crate) use {
+    check::check_shape,
+    node::{Node, parse_node},
+    schema::{Field, Shape},
+};
+
+use crate::{Problem, Problems, Settings, tree};
+
+/// The greatest size of a document, in bytes. The store takes values of up to a megabyte, and a
+/// version adds its own fields and the escapes of a text within a text.
+const MAX_DOCUMENT_BYTES: usize = 480 * 1024;
+
+/// A document that passed every check.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    /// The settings.
+    pub settings: Settings,
+    /// The document as plain JSON, without comments.
+    pub json: serde_json::Value,
+}
+
+/// Parses and checks a whole document.
+///
+/// # Errors
+///
+/// Returns every problem that was found. Rules across branches are looked at only once every
+/// value has the right shape.
+pub fn parse(text: &str) -> Result<Checked, Problems> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        return Err(oversized(text.len()).into());
+    }
+    let root = parse_node(text)?;
+    check_shape(&root, &tree::ROOT)?;
+    let json = root.to_json();
+    let settings: Settings =
+        serde_json::from_value(json.clone()).map_err(|error| disagreement(&error))?;
+    cross::check(&root, &settings)?;
+    Ok(Checked { settings, json })
+}
+
+fn oversized(bytes: usize) -> Problem {
+    Problem {
+        position: Default::default(),
+        path: String::new(),
+        expected: format!("a document of at most {MAX_DOCUMENT_BYTES} bytes"),
+        found: format!("{bytes} bytes"),
+    }
+}
+
+/// Reports that a value passed the schema and was still refused by its type.
+fn disagreement(error: &serde_json::Error) -> Problem {
+    Problem {
+        position: Default::default(),
+        path: String::new(),
+        expected: "a document that fits the schema".into(),
+        found: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/caller/mod.rs
@@ -0,0 +1,11 @@
+//! Callers: open-loop load through the balancer's stand-in, with a record of every request.
+
+mod balancer;
+mod load;
+mod record;
+
+pub use {
+    balancer::Balancer,
+    load::{Load, LoadMix, run_load},
+    record::{Outcome, Record, Records},
+};
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/cluster/mod.rs
@@ -0,0 +1,11 @@
+//! Daemons with stand-ins and faulty edges around them.
+
+mod address;
+#[allow(clippy::module_inception)]
+mod cluster;
+mod daemon;
+
+pub use {
+    cluster::{Cluster, ClusterOptions, ServerHandle},
+    daemon::{DaemonHandle, DaemonMode},
+};
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/lib.rs
@@ -0,0 +1,17 @@
+//! Stand-ins for everything around the daemons, for tests and examples. Never shipped.
+//!
+//! - [`standin`]: the platform's store and instance list, and backend servers;
+//! - [`fault`]: a TCP proxy on every edge that cuts, delays and silences;
+//! - [`site`]: the users' two sites;
+//! - [`cluster`]: daemons, as processes or embedded, with all of the above around them;
+//! - [`caller`]: load with a record of every request;
+//! - [`oracle`]: what must hold, read from the stand-ins' and the callers' records alone;
+//! - [`scenario`]: a small language that scripts all of it.
+
+pub mod caller;
+pub mod cluster;
+pub mod fault;
+pub mod oracle;
+pub mod scenario;
+pub mod site;
+pub mod standin;
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/oracle/promises.rs
@@ -0,0 +1,117 @@
+use {
+    crate::{
+        caller::{Outcome, Record},
+        standin::{Belief, Run, RunEnd},
+    },
+    oriolehoist_protocol::ServerName,
+    oriolehoist_time::Millis,
+    std::collections::{HashMap, HashSet},
+};
+
+/// A promise that was broken, in words.
+pub type Violation = String;
+
+/// Finds shards of which two servers believed at once that they owned them, and effects that
+/// went against the order of epochs.
+pub fn overlapping_owners(beliefs: &[Belief], runs: &[Run]) -> Vec<Violation> {
+    let mut by_shard: HashMap<_, Vec<&Belief>> = HashMap::new();
+    for belief in beliefs.iter().filter(|b| b.until > b.from) {
+        by_shard.entry((&belief.service, belief.shard)).or_default().push(belief);
+    }
+    let mut found = Vec::new();
+    for ((service, shard), list) in &mut by_shard {
+        list.sort_by_key(|b| b.from);
+        let mut latest = list[0];
+        for &belief in &list[1..] {
+            if belief.server != latest.server && belief.from < latest.until {
+                found.push(format!(
+                    "{service} shard {shard}: {} until {} and {} from {}",
+                    latest.server, latest.until, belief.server, belief.from
+                ));
+            }
+            if belief.until > latest.until {
+                latest = belief;
+            }
+        }
+    }
+    found.extend(epochs_out_of_order(runs));
+    found
+}
+
+fn epochs_out_of_order(runs: &[Run]) -> Vec<Violation> {
+    let mut effects: Vec<&Run> =
+        runs.iter().filter(|r| r.end == RunEnd::Effect && r.epoch.is_some()).collect();
+    effects.sort_by_key(|r| r.ended);
+    let mut latest: HashMap<_, &Run> = HashMap::new();
+    let mut found = Vec::new();
+    for run in effects {
+        match latest.insert((&run.service, run.shard), run) {
+            Some(before)
+                if before.epoch > run.epoch
+                // Effects in the same millisecond have no order that could be wrong.
+                && before.ended < run.ended =>
+            {
+                found.push(format!(
+                    "{}: effect at {} under an older epoch than that at {}",
+                    run.key, run.server, before.server
+                ));
+            }
+            Some(before) if before.epoch == run.epoch && before.server != run.server => {
+                found.push(format!(
+                    "{}: {} and {} share an epoch",
+                    run.key, run.server, before.server
+                ));
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// Finds bookings that took effect more than once.
+pub fn ran_more_than_once(records: &[Record], runs: &[Run]) -> Vec<Violation> {
+    let bookings: HashSet<&str> =
+        records.iter().filter(|r| r.booking).map(|r| r.id.as_str()).collect();
+    let mut effects: HashMap<&str, u32> = HashMap::new();
+    for run in runs.iter().filter(|r| r.end == RunEnd::Effect) {
+        *effects.entry(run.request_id.as_str()).or_default() += 1;
+    }
+    effects
+        .into_iter()
+        .filter(|(id, count)| *count > 1 && bookings.contains(id))
+        .map(|(id, count)| format!("booking {id} took effect {count} times"))
+        .collect()
+}
+
+/// Finds requests that took effect although every word about them was that they did not run.
+pub fn ran_though_not_run(records: &[Record], runs: &[Run]) -> Vec<Violation> {
+    let mut only_not_run: HashMap<&str, bool> = HashMap::new();
+    for record in records {
+        let not_run = matches!(record.outcome, Outcome::Refused { not_run: true, .. });
+        *only_not_run.entry(record.id.as_str()).or_insert(true) &= not_run;
+    }
+    runs.iter()
+        .filter(|r| r.end == RunEnd::Effect)
+        .filter(|r| only_not_run.get(r.request_id.as_str()) == Some(&true))
+        .map(|r| format!("{} was refused as not run and ran at {}", r.request_id, r.server))
+        .collect()
+}
+
+/// Finds answers that belong to another request.
+pub fn own_answers(records: &[Record]) -> Vec<Violation> {
+    records
+        .iter()
+        .filter(|r| r.outcome == Outcome::Served { own: false })
+        .map(|r| format!("{} got another request's answer", r.id))
+        .collect()
+}
+
+/// Finds work that began on a server later than `bound` after it was told to leave.
+pub fn late_work(runs: &[Run], server: &ServerName, left: Millis, bound: Millis) -> Vec<Violation> {
+    runs.iter()
+        .filter(|r| r.server == *server && r.began > left + bound)
+        .map(|r| {
+            format!("{} began at {server} {} after it left", r.request_id, r.began.since(left))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/site/mod.rs
@@ -0,0 +1,156 @@
+//! The users' two sites, with their figures, and settings made for them.
+
+use {
+    oriolehoist_protocol::{ServerName, ServiceName, ZoneName},
+    oriolehoist_time::Millis,
+    std::{fmt::Write, net::SocketAddr},
+};
+
+/// A site: its availability zones and services.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// The site's name.
+    pub name: &'static str,
+    /// Its availability zones.
+    pub zones: Vec<&'static str>,
+    /// Its services.
+    pub services: Vec<SiteService>,
+    /// Settings of the site's own, as members of the document.
+    pub extra: String,
+}
+
+/// A service of a site.
+#[derive(Clone, Debug)]
+pub struct SiteService {
+    /// The service's name.
+    pub name: &'static str,
+    /// Whether keys are owned.
+    pub keyed: bool,
+    /// How many backend servers it has.
+    pub targets: usize,
+    /// How many requests each runs at once.
+    pub slots: u32,
+    /// How many connections each takes.
+    pub connections: u32,
+    /// How long a request runs.
+    pub service_time: Millis,
+    /// Settings of the service's own, as members of its branch.
+    pub extra: String,
+}
+
+/// One backend server of a site.
+#[derive(Clone, Debug)]
+pub struct SiteTarget {
+    /// The service.
+    pub service: ServiceName,
+    /// The server.
+    pub server: ServerName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where daemons reach it.
+    pub address: SocketAddr,
+}
+
+/// Villacrés: tides and bookings split by key, and almanacs.
+pub fn villacres() -> Site {
+    Site {
+        name: "villacres",
+        zones: vec!["malecon", "puna", "posorja", "duran"],
+        services: vec![
+            service("mareas-live", true, 15, 6, 110, 4),
+            service("almanaque", false, 10, 6, 110, 12),
+        ],
+        extra: String::new(),
+    }
+}
+
+/// Sfax: laundry bookings split by key, and machine history.
+pub fn sfax() -> Site {
+    Site {
+        name: "sfax",
+        zones: vec!["sfax-medina", "sfax-sakiet", "sfax-thyna"],
+        services: vec![
+            service("reservation", true, 20, 2, 45, 4),
+            service("caretaker-desk", false, 10, 2, 45, 12),
+        ],
+        extra: r#""placement": { "moves": 1, "imbalance_percent": 150 },"#.into(),
+    }
+}
+
+/// Finds a site by its name.
+pub fn by_name(name: &str) -> Option<Site> {
+    match name {
+        "villacres" => Some(villacres()),
+        "sfax" => Some(sfax()),
+        _ => None,
+    }
+}
+
+fn service(
+    name: &'static str,
+    keyed: bool,
+    targets: usize,
+    slots: u32,
+    connections: u32,
+    millis: u64,
+) -> SiteService {
+    SiteService {
+        name,
+        keyed,
+        targets,
+        slots,
+        connections,
+        service_time: Millis(millis),
+        extra: String::new(),
+    }
+}
+
+impl Site {
+    /// Returns the service that is split by key.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    pub fn keyed(&self) -> &SiteService {
+        self.services.iter().find(|s| s.keyed).expect("each site has a service split by key")
+    }
+
+    /// Writes the site's settings.
+    pub fn settings(&self, targets: &[SiteTarget]) -> String {
+        let mut text = String::from("{\n");
+        let zones: Vec<String> = self.zones.iter().map(|zone| format!("{zone:?}")).collect();
+        let _ = writeln!(text, "  \"site\": {:?},", self.name);
+        let _ = writeln!(text, "  \"zones\": [{}],", zones.join(", "));
+        let _ = writeln!(text, "  {}", self.extra);
+        text.push_str("  \"services\": {\n");
+        for (index, service) in self.services.iter().enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            let _ = write!(text, "    {comma}{:?}: ", service.name);
+            write_service(&mut text, service, targets);
+        }
+        text.push_str("  }\n}\n");
+        text
+    }
+}
+
+fn write_service(text: &mut String, service: &SiteService, targets: &[SiteTarget]) {
+    let (slots, connections) = (service.slots, service.connections);
+    let _ = writeln!(text, "{{\n      \"keyed\": {},", service.keyed);
+    let _ = writeln!(
+        text,
+        "      \"server\": {{ \"slots\": {slots}, \"connections\": {connections} }},"
+    );
+    let _ = writeln!(text, "      {}", service.extra);
+    text.push_str("      // Each backend server, with its address and availability zone.\n");
+    text.push_str("      \"targets\": {\n");
+    let own = targets.iter().filter(|t| t.service.as_str() == service.name);
+    for (index, target) in own.enumerate() {
+        let comma = if index == 0 { "" } else { "," };
+        let _ = writeln!(
+            text,
+            "        {comma}\"{}\": {{ \"address\": \"{}\", \"zone\": \"{}\" }}",
+            target.server, target.address, target.zone
+        );
+    }
+    text.push_str("      }\n    }\n");
+}
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/standin/backend.rs
@@ -0,0 +1,510 @@
+use {
+    crate::standin::{Belief, Journal, Run, RunEnd},
+    axum::{
+        Router,
+        body::{Body, Bytes},
+        extract::{Request, State},
+        http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    oriolehoist_ownership::{GrantTable, Work},
+    oriolehoist_protocol::{
+        DEADLINE_MS, EPOCH, EXCHANGE, Epoch, INCARNATION, Incarnation, KEY, LoadReport, NOT_RUN,
+        Order, OrderBody, OrderOutcome, REQUEST_ID, SHARD, ServerAnswer, ServerName, ServiceName,
+        ShardGrant, ShardId,
+    },
+    oriolehoist_time::{Clock, Millis},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicBool, AtomicU32, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        runtime::{Builder, Runtime},
+        sync::{oneshot, watch},
+        time::{sleep, timeout},
+    },
+};
+
+/// How a stand-in backend server behaves.
+#[derive(Clone, Debug)]
+pub struct BackendOptions {
+    /// The service.
+    pub service: ServiceName,
+    /// The server's name.
+    pub name: ServerName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How many requests it runs at once; more are shed.
+    pub slots: u32,
+    /// How long it runs a request.
+    pub service_time: Millis,
+    /// How long after its start it takes three times as long.
+    pub cold_for: Millis,
+    /// Whether keys are owned.
+    pub keyed: bool,
+    /// Whether it checks grants and epochs.
+    pub fenced: bool,
+}
+
+/// A stand-in backend server, with threads of its own so that it can be killed at any moment.
+pub struct BackendServer {
+    options: BackendOptions,
+    clock: Clock,
+    journal: Journal,
+    freeze: watch::Sender<bool>,
+    misreport: Arc<AtomicBool>,
+    life: Arc<Mutex<Option<Life>>>,
+}
+
+struct Life {
+    incarnation: Incarnation,
+    runtime: Runtime,
+    state: Arc<Living>,
+}
+
+/// How much slower a cold server is.
+const COLD_FACTOR: u64 = 3;
+/// The path whose requests crash the server.
+const CRASH_PATH: &str = "/crash";
+
+struct Living {
+    options: BackendOptions,
+    clock: Clock,
+    journal: Journal,
+    incarnation: Incarnation,
+    started: Millis,
+    frozen: watch::Receiver<bool>,
+    draining: AtomicBool,
+    misreport: Arc<AtomicBool>,
+    running: AtomicU32,
+    table: Mutex<GrantTable>,
+    /// Counts ended work, so that revocations learn of it.
+    ended: watch::Sender<u64>,
+    answers: Mutex<HashMap<String, RunAnswer>>,
+    crash: Mutex<Option<oneshot::Sender<()>>>,
+}
+
+/// What a run answered, kept so that a repeated request does not run again.
+#[derive(Clone, Debug)]
+struct RunAnswer {
+    body: String,
+}
+
+impl BackendServer {
+    /// Creates a server that has not been started.
+    pub fn new(options: BackendOptions, clock: Clock, journal: Journal) -> BackendServer {
+        BackendServer {
+            options,
+            clock,
+            journal,
+            freeze: watch::Sender::new(false),
+            misreport: Arc::default(),
+            life: Arc::default(),
+        }
+    }
+
+    /// Returns how it behaves.
+    pub fn options(&self) -> &BackendOptions {
+        &self.options
+    }
+
+    /// Starts it with a new incarnation and an empty memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't listen.
+    pub fn start(&self) -> eyre::Result<()> {
+        self.kill();
+        let incarnation = Incarnation(fastrand::u64(1..));
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+        let (crash_tx, crash) = oneshot::channel();
+        let state = Arc::new(Living {
+            clock: self.clock,
+            journal: self.journal.clone(),
+            incarnation,
+            started: self.clock.now(),
+            frozen: self.freeze.subscribe(),
+            draining: AtomicBool::new(false),
+            misreport: Arc::clone(&self.misreport),
+            running: AtomicU32::new(0),
+            table: Mutex::new(GrantTable::new(incarnation)),
+            ended: watch::Sender::new(0),
+            answers: Mutex::default(),
+            crash: Mutex::new(Some(crash_tx)),
+            options: self.options.clone(),
+        });
+        let listener = listen(&runtime, self.options.address)?;
+        let router = Router::new()
+            .route("/oriolehoist/order", post(take_order))
+            .route("/oriolehoist/health", get(health))
+            .fallback(serve)
+            .with_state(Arc::clone(&state));
+        runtime.spawn(async move { axum::serve(listener, router).await });
+        *self.lock() = Some(Life { incarnation, runtime, state });
+        self.end_life_on(crash);
+        Ok(())
+    }
+
+    /// Kills it at once, with everything in flight.
+    pub fn kill(&self) {
+        let life = self.lock().take();
+        end(life, self.clock, &self.journal, &self.options);
+    }
+
+    /// Stops it from doing anything, and lets it go on where it was.
+    pub fn freeze(&self, frozen: bool) {
+        let _ = self.freeze.send(frozen);
+    }
+
+    /// Makes it report, or not report, that it drains.
+    pub fn drain(&self, draining: bool) {
+        if let Some(life) = self.lock().as_ref() {
+            life.state.draining.store(draining, Ordering::Relaxed);
+        }
+    }
+
+    /// Makes it report a false load.
+    pub fn misreport(&self, misreport: bool) {
+        self.misreport.store(misreport, Ordering::Relaxed);
+    }
+
+    /// Returns whether it runs.
+    pub fn is_alive(&self) -> bool {
+        self.lock().is_some()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Life>> {
+        self.life.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Ends the present life when a request crashes it.
+    fn end_life_on(&self, crash: oneshot::Receiver<()>) {
+        let slot = Arc::clone(&self.life);
+        let (clock, journal, options) = (self.clock, self.journal.clone(), self.options.clone());
+        thread::spawn(move || {
+            if crash.blocking_recv().is_ok() {
+                let life = slot.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take();
+                end(life, clock, &journal, &options);
+            }
+        });
+    }
+}
+
+impl Drop for BackendServer {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn end(life: Option<Life>, clock: Clock, journal: &Journal, options: &BackendOptions) {
+    let Some(life) = life else { return };
+    // A runtime can't be waited for within another one's threads.
+    let runtime = life.runtime;
+    let _ = thread::spawn(move || runtime.shutdown_timeout(Duration::from_millis(200))).join();
+    let incarnation = life.incarnation;
+    journal.end_beliefs(clock.now(), &options.service, &options.name, |belief| {
+        belief.incarnation == incarnation
+    });
+}
+
+/// Listens, waiting a little for an earlier life's socket to close.
+fn listen(runtime: &Runtime, address: SocketAddr) -> eyre::Result<TcpListener> {
+    let mut tries = 0;
+    let listener = loop {
+        match std::net::TcpListener::bind(address) {
+            Err(_) if tries < 100 => {
+                tries += 1;
+                thread::sleep(Duration::from_millis(10));
+            }
+            result => break result?,
+        }
+    };
+    listener.set_nonblocking(true)?;
+    let _entered = runtime.enter();
+    Ok(TcpListener::from_std(listener)?)
+}
+
+impl Living {
+    async fn thawed(&self) {
+        let mut frozen = self.frozen.clone();
+        let _ = frozen.wait_for(|frozen| !frozen).await;
+    }
+
+    fn load(&self) -> LoadReport {
+        let running = match self.misreport.load(Ordering::Relaxed) {
+            true => 0,
+            false => self.running.load(Ordering::Relaxed),
+        };
+        LoadReport {
+            slots: self.options.slots,
+            running,
+            cold: self.is_cold(),
+            draining: self.draining.load(Ordering::Relaxed),
+        }
+    }
+
+    fn is_cold(&self) -> bool {
+        self.clock.now().since(self.started) < self.options.cold_for
+    }
+
+    fn table(&self) -> MutexGuard<'_, GrantTable> {
+        self.table.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Begins work under the grants, which a server that does not check never asks.
+    fn begin(&self, shard: Option<ShardId>, epoch: Option<Epoch>) -> Result<Option<Work>, ()> {
+        match (shard, epoch) {
+            _ if !self.options.keyed || !self.options.fenced => Ok(None),
+            (Some(shard), Some(epoch)) => {
+                self.table().begin(self.clock.now(), shard, epoch).map(Some).map_err(drop)
+            }
+            _ => Err(()),
+        }
+    }
+
+    fn note_beliefs(&self, not_after: Millis) {
+        let now = self.clock.now();
+        for ShardGrant { shard, epoch } in self.table().live(now) {
+            self.journal.believe(Belief {
+                service: self.options.service.clone(),
+                server: self.options.name.clone(),
+                incarnation: self.incarnation,
+                shard,
+                epoch,
+                from: now,
+                until: not_after,
+            });
+        }
+    }
+
+    fn end_revoked(&self, grants: &[ShardGrant]) {
+        let now = self.clock.now();
+        self.journal.end_beliefs(now, &self.options.service, &self.options.name, |belief| {
+            grants.iter().any(|g| g.shard == belief.shard && g.epoch >= belief.epoch)
+        });
+    }
+}
+
+async fn take_order(State(state): State<Arc<Living>>, body: Bytes) -> Response {
+    state.thawed().await;
+    let Ok(order) = rmp_serde::from_slice::<Order>(&body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let answer = state.table().take(state.clock.now(), &order, state.load());
+    match &order.body {
+        OrderBody::Renew { echo, length, .. } if answer.outcome == OrderOutcome::Accepted => {
+            state.note_beliefs(*echo + *length);
+        }
+        OrderBody::Revoke { grants } if answer.outcome == OrderOutcome::Accepted => {
+            finish_in_flight(&state, grants).await;
+            state.end_revoked(grants);
+        }
+        _ => {}
+    }
+    reply(&state, &answer)
+}
+
+async fn finish_in_flight(state: &Living, grants: &[ShardGrant]) {
+    let mut ended = state.ended.subscribe();
+    let _ = ended.wait_for(|_| state.table().is_idle(grants)).await;
+    state.thawed().await;
+}
+
+fn reply(state: &Living, answer: &ServerAnswer) -> Response {
+    // The time of the answer is what the assigner echoes, so it is taken last.
+    let answer = ServerAnswer { time: state.clock.now(), ..answer.clone() };
+    match rmp_serde::to_vec_named(&answer) {
+        Ok(packed) => packed.into_response(),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+async fn health(State(state): State<Arc<Living>>) -> Response {
+    state.thawed().await;
+    respond(&state, StatusCode::OK, "", "ok".into())
+}
+
+async fn serve(State(state): State<Arc<Living>>, request: Request<Body>) -> Response {
+    state.thawed().await;
+    let (parts, body) = request.into_parts();
+    let Ok(body) = axum::body::to_bytes(body, usize::MAX).await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let headers = &parts.headers;
+    let exchange = text(headers, EXCHANGE);
+    let shard = text(headers, SHARD).parse().ok().map(ShardId);
+    let epoch = Epoch::parse(&text(headers, EPOCH));
+    let request_id = text(headers, REQUEST_ID);
+    let Ok(work) = state.begin(shard, epoch) else {
+        return refuse(&state, &exchange, "grant");
+    };
+    let work = HeldWork { state: Arc::clone(&state), work };
+    let known = state
+        .answers
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+        .get(&request_id)
+        .cloned();
+    if let Some(known) = known {
+        return respond(&state, StatusCode::OK, &exchange, known.body);
+    }
+    let Some(slot) = Slot::take(&state) else {
+        return refuse(&state, &exchange, "shed");
+    };
+    let run = Run {
+        service: state.options.service.clone(),
+        server: state.options.name.clone(),
+        incarnation: state.incarnation,
+        request_id: request_id.clone(),
+        key: text(headers, KEY),
+        shard,
+        epoch,
+        began: state.clock.now(),
+        ended: state.clock.now(),
+        end: RunEnd::Open,
+    };
+    let open =
+        OpenRun { number: state.journal.begin(run), state: Arc::clone(&state), ended: false };
+    if parts.uri.path() == CRASH_PATH {
+        let crash = state.crash.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take();
+        let _ = crash.map(|tx| tx.send(()));
+        std::future::pending::<()>().await;
+    }
+    let length = work_of(&state, headers);
+    let deadline = text(headers, DEADLINE_MS).parse().map(Duration::from_millis);
+    // A server that is told a deadline does not work past it.
+    if timeout(deadline.unwrap_or(Duration::MAX), sleep(length)).await.is_err() {
+        return StatusCode::GATEWAY_TIMEOUT.into_response();
+    }
+    state.thawed().await;
+    if !work.may_take_effect() {
+        return refuse(&state, &exchange, "grant");
+    }
+    open.take_effect();
+    let answer = RunAnswer {
+        body: format!(
+            "{{\"request_id\":\"{request_id}\",\"key\":\"{}\",\"server\":\"{}\",\"bytes\":{}}}",
+            text(headers, KEY),
+            state.options.name,
+            body.len(),
+        ),
+    };
+    if !request_id.is_empty() {
+        let mut answers = state.answers.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        answers.insert(request_id, answer.clone());
+    }
+    drop((slot, work));
+    respond(&state, StatusCode::OK, &exchange, answer.body)
+}
+
+/// A header with which tests ask for a run of another length, in milliseconds.
+const WORK_MS: &str = "work-ms";
+
+fn work_of(state: &Living, headers: &HeaderMap) -> Duration {
+    let asked = text(headers, WORK_MS).parse().map(Millis);
+    let usual = asked.unwrap_or(state.options.service_time);
+    Duration::from(match state.is_cold() {
+        true => usual * COLD_FACTOR,
+        false => usual,
+    })
+}
+
+/// A run that counts as abandoned unless it takes effect.
+struct OpenRun {
+    number: usize,
+    state: Arc<Living>,
+    ended: bool,
+}
+
+impl OpenRun {
+    fn take_effect(mut self) {
+        self.ended = true;
+        self.state.journal.end(self.number, self.state.clock.now(), RunEnd::Effect);
+    }
+}
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.state.journal.end(self.number, self.state.clock.now(), RunEnd::Abandoned);
+        }
+    }
+}
+
+/// Work under a grant, ended when it is dropped.
+struct HeldWork {
+    state: Arc<Living>,
+    work: Option<Work>,
+}
+
+impl HeldWork {
+    fn may_take_effect(&self) -> bool {
+        let now = self.state.clock.now();
+        self.work.is_none_or(|work| self.state.table().may_take_effect(now, &work))
+    }
+}
+
+impl Drop for HeldWork {
+    fn drop(&mut self) {
+        if let Some(work) = self.work {
+            self.state.table().end(work);
+            self.state.ended.send_modify(|count| *count += 1);
+        }
+    }
+}
+
+/// One of the server's slots, held by a run.
+struct Slot {
+    state: Arc<Living>,
+}
+
+impl Slot {
+    fn take(state: &Arc<Living>) -> Option<Slot> {
+        let free = |running: u32| (running < state.options.slots).then_some(running + 1);
+        state.running.fetch_update(Ordering::Relaxed, Ordering::Relaxed, free).ok()?;
+        Some(Slot { state: Arc::clone(state) })
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.state.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers
+        .get(name)
+        .map(|v| String::from_utf8_lossy(v.as_bytes()).into_owned())
+        .unwrap_or_default()
+}
+
+fn refuse(state: &Living, exchange: &str, reason: &'static str) -> Response {
+    let mut response = respond(state, StatusCode::SERVICE_UNAVAILABLE, exchange, String::new());
+    response
+        .headers_mut()
+        .insert(HeaderName::from_static(NOT_RUN), HeaderValue::from_static(reason));
+    response
+}
+
+fn respond(state: &Living, status: StatusCode, exchange: &str, body: String) -> Response {
+    let mut response = (status, body).into_response();
+    let mut set = |name: &'static str, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            response.headers_mut().insert(HeaderName::from_static(name), value);
+        }
+    };
+    set(INCARNATION, &state.incarnation.to_string());
+    if !exchange.is_empty() {
+        set(EXCHANGE, exchange);
+    }
+    response
+}
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/standin/mod.rs
@@ -0,0 +1,13 @@
+//! Small stand-ins for outside systems, met by their protocols.
+
+mod backend;
+mod instances;
+mod journal;
+mod store;
+
+pub use {
+    backend::{BackendOptions, BackendServer},
+    instances::InstanceBoard,
+    journal::{Belief, Journal, Run, RunEnd},
+    store::StoreServer,
+};
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/standin/store.rs
@@ -0,0 +1,242 @@
+use {
+    axum::{
+        Json, Router,
+        extract::{Query, State},
+        http::StatusCode,
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    oriolehoist_platform::{
+        CasRequest, Entry, LeaseGranted, LeaseId, LeaseRequest, Revision, WatchAnswer, WatchRequest,
+    },
+    oriolehoist_time::{Clock, Millis},
+    serde::Deserialize,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{net::TcpListener, sync::watch, time::timeout},
+};
+
+/// The largest value, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// A stand-in for the platform's key-value service.
+#[derive(Clone)]
+pub struct StoreServer {
+    state: Arc<StoreState>,
+    address: SocketAddr,
+}
+
+struct StoreState {
+    clock: Clock,
+    entries: Mutex<Entries>,
+    changes: watch::Sender<u64>,
+    stale: AtomicBool,
+    calls: AtomicU64,
+    writes: AtomicU64,
+}
+
+#[derive(Default)]
+struct Entries {
+    revision: u64,
+    current: BTreeMap<String, Held>,
+    leases: BTreeMap<u64, Millis>,
+    next_lease: u64,
+}
+
+struct Held {
+    entry: Entry,
+    previous: Option<Entry>,
+    lease: Option<LeaseId>,
+}
+
+impl StoreServer {
+    /// Starts the stand-in at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be listened at.
+    pub async fn start(clock: Clock, address: SocketAddr) -> eyre::Result<StoreServer> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(StoreState {
+            clock,
+            entries: Mutex::default(),
+            changes: watch::Sender::new(0),
+            stale: AtomicBool::new(false),
+            calls: AtomicU64::new(0),
+            writes: AtomicU64::new(0),
+        });
+        let router = Router::new()
+            .route("/v1/kv", get(read))
+            .route("/v1/cas", post(compare_and_swap))
+            .route("/v1/watch", post(wait_for_change))
+            .route("/v1/lease", post(grant_lease))
+            .route("/v1/lease/keep", post(keep_lease))
+            .layer(axum::extract::DefaultBodyLimit::max(2 * MAX_VALUE_BYTES))
+            .with_state(Arc::clone(&state));
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(StoreServer { state, address })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes reads and watches answer with the value before the last write.
+    pub fn set_stale(&self, stale: bool) {
+        self.state.stale.store(stale, Ordering::Relaxed);
+    }
+
+    /// Returns how many calls were made; a waiting watch counts as one.
+    pub fn calls(&self) -> u64 {
+        self.state.calls.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many compare-and-swaps were made.
+    pub fn writes(&self) -> u64 {
+        self.state.writes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the value of a key, without counting a call.
+    pub fn peek(&self, key: &str) -> Option<String> {
+        let entries = self.state.lock();
+        entries.current.get(key).map(|held| held.entry.value.clone())
+    }
+}
+
+impl StoreState {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Entries> {
+        self.entries.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn count(&self) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn visible(&self, held: &Held) -> Option<Entry> {
+        match self.stale.load(Ordering::Relaxed) {
+            true => held.previous.clone(),
+            false => Some(held.entry.clone()),
+        }
+    }
+
+    fn drop_expired(&self, entries: &mut Entries) {
+        let now = self.clock.now();
+        entries.leases.retain(|_, end| *end > now);
+        let leases: Vec<u64> = entries.leases.keys().copied().collect();
+        entries.current.retain(|_, held| held.lease.is_none_or(|l| leases.contains(&l.0)));
+    }
+}
+
+#[derive(Deserialize)]
+struct KeyQuery {
+    key: String,
+}
+
+async fn read(State(state): State<Arc<StoreState>>, Query(query): Query<KeyQuery>) -> Response {
+    state.count();
+    let mut entries = state.lock();
+    state.drop_expired(&mut entries);
+    match entries.current.get(&query.key).and_then(|held| state.visible(held)) {
+        Some(entry) => Json(entry).into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+async fn compare_and_swap(
+    State(state): State<Arc<StoreState>>,
+    Json(request): Json<CasRequest>,
+) -> Response {
+    state.count();
+    state.writes.fetch_add(1, Ordering::Relaxed);
+    if request.value.len() > MAX_VALUE_BYTES {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
+    let mut entries = state.lock();
+    state.drop_expired(&mut entries);
+    let present = entries.current.get(&request.key).map(|held| held.entry.clone());
+    if present.as_ref().map_or(Revision::ABSENT, |e| e.revision) != request.expected {
+        return (StatusCode::CONFLICT, Json(present)).into_response();
+    }
+    entries.revision += 1;
+    let revision = Revision(entries.revision);
+    let entry = Entry { key: request.key.clone(), revision, value: request.value };
+    let held = Held { entry, previous: present, lease: request.lease };
+    entries.current.insert(request.key, held);
+    drop(entries);
+    state.changes.send_modify(|count| *count += 1);
+    Json(revision).into_response()
+}
+
+async fn wait_for_change(
+    State(state): State<Arc<StoreState>>,
+    Json(request): Json<WatchRequest>,
+) -> Json<WatchAnswer> {
+    state.count();
+    let mut changes = state.changes.subscribe();
+    let find = || {
+        let entries = state.lock();
+        let mut found: Vec<Entry> = entries
+            .current
+            .range(request.prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(&request.prefix))
+            .filter_map(|(_, held)| state.visible(held))
+            .filter(|entry| entry.revision > request.after)
+            .collect();
+        found.sort_by_key(|entry| entry.revision);
+        found
+    };
+    let wait = async {
+        loop {
+            changes.borrow_and_update();
+            let entries = find();
+            if !entries.is_empty() || changes.changed().await.is_err() {
+                return entries;
+            }
+        }
+    };
+    let entries = timeout(Duration::from(request.wait), wait).await.unwrap_or_default();
+    Json(WatchAnswer { entries })
+}
+
+async fn grant_lease(
+    State(state): State<Arc<StoreState>>,
+    Json(request): Json<LeaseRequest>,
+) -> Json<LeaseGranted> {
+    state.count();
+    let mut entries = state.lock();
+    entries.next_lease += 1;
+    let id = entries.next_lease;
+    entries.leases.insert(id, state.clock.now() + request.ttl);
+    Json(LeaseGranted { id: LeaseId(id) })
+}
+
+#[derive(Deserialize)]
+struct KeepLease {
+    id: LeaseId,
+    ttl: Millis,
+}
+
+async fn keep_lease(
+    State(state): State<Arc<StoreState>>,
+    Json(request): Json<KeepLease>,
+) -> StatusCode {
+    state.count();
+    let mut entries = state.lock();
+    state.drop_expired(&mut entries);
+    match entries.leases.get_mut(&request.id.0) {
+        Some(end) => {
+            *end = state.clock.now() + request.ttl;
+            StatusCode::OK
+        }
+        None => StatusCode::NOT_FOUND,
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_time/src/millis.rs
@@ -0,0 +1,65 @@
+use {
+    derive_more::{Add, AddAssign, Display, From, Into},
+    serde::{Deserialize, Serialize},
+    std::{ops::Mul, time::Duration},
+};
+
+/// A length of time, or an instant counted from a clock's origin, in milliseconds.
+///
+/// Two instants compare only when they come from the same [`Clock`](crate::Clock).
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Add,
+    AddAssign,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} ms")]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// No time at all, or a clock's origin.
+    pub const ZERO: Millis = Millis(0);
+
+    /// Converts whole seconds.
+    pub const fn from_secs(secs: u64) -> Millis {
+        Millis(secs * 1000)
+    }
+
+    /// Returns the time from `earlier` to `self`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Millis) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Mul<u64> for Millis {
+    type Output = Millis;
+
+    fn mul(self, factor: u64) -> Millis {
+        Millis(self.0.saturating_mul(factor))
+    }
+}
+
+impl From<Millis> for Duration {
+    fn from(millis: Millis) -> Duration {
+        Duration::from_millis(millis.0)
+    }
+}
+
+impl From<Duration> for Millis {
+    fn from(duration: Duration) -> Millis {
+        Millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/src/bin/oriolectl.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,32 @@
+//! A router between callers and servers that each own their keys exclusively.
+//!
+//! This crate gathers the others under one name. The decisions are free of I/O: [`ownership`],
+//! [`placement`], [`admission`], [`settings`] and [`refusal`]. [`daemon`] runs them, [`platform`]
+//! reaches the key-value service, and [`ctl`] is the operators' command line.
+//!
+//! ```
+//! use oriolehoist::prelude::*;
+//!
+//! let shard = ShardId::of_key("guayas-bar", 256);
+//! assert!(shard.0 < 256);
+//! ```
+
+pub use {
+    oriolehoist_admission as admission, oriolehoist_ctl as ctl, oriolehoist_daemon as daemon,
+    oriolehoist_ownership as ownership, oriolehoist_placement as placement,
+    oriolehoist_platform as platform, oriolehoist_protocol as protocol,
+    oriolehoist_refusal as refusal, oriolehoist_settings as settings, oriolehoist_time as time,
+};
+
+/// What most users of the library need.
+pub mod prelude {
+    pub use {
+        oriolehoist_admission::{Class, Gate},
+        oriolehoist_daemon::Daemon,
+        oriolehoist_ownership::{Assigner, Follower, GrantTable, Timing},
+        oriolehoist_protocol::{Epoch, ServerName, ServiceName, ShardId, Term, Version},
+        oriolehoist_refusal::{Kind, Receipt, RunState},
+        oriolehoist_settings::{Settings, parse},
+        oriolehoist_time::{Clock, Millis},
+    };
+}
--- /dev/null
+++ b/tests/thin_path.rs
@@ -0,0 +1,58 @@
+//! The whole path, kept thin: daemons, store, servers, and the loss of an owner.
+
+use {
+    googletest::prelude::*,
+    oriolehoist_testkit::{
+        caller::{Balancer, LoadMix, Records, run_load},
+        cluster::{Cluster, ClusterOptions, DaemonMode},
+        oracle::{availability, overlapping_owners, own_answers, ran_more_than_once},
+        site,
+    },
+    oriolehoist_time::Millis,
+    std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+fn mix() -> LoadMix {
+    LoadMix {
+        service: "mareas-live".into(),
+        rate: 200,
+        keys: 60,
+        bookings: 30,
+        class: "urgent",
+        tenant: String::new(),
+        deadline: Millis(3000),
+        work: None,
+        repeat_unknown: true,
+        path: "window".into(),
+        seed: 1,
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_keys_again_after_an_owner_is_killed() -> eyre::Result<()> {
+    let program = env!("CARGO_BIN_EXE_oriolehoist").into();
+    let options = ClusterOptions::new(site::villacres(), 2, DaemonMode::Process(program));
+    let cluster = Cluster::start(options).await?;
+    let balancer = Arc::new(Balancer::start(cluster.daemons.iter().map(|d| d.callers).collect()));
+    let records = Records::default();
+    let started = cluster.clock.now();
+    let load = run_load(cluster.clock, balancer, records.clone(), mix(), Millis(5000));
+    sleep(Duration::from_millis(1500)).await;
+    let owner = cluster.last_server_of("key-7")?;
+    cluster.kill_server(owner).await?;
+    load.finish().await;
+
+    let (records, runs) = (records.all(), cluster.journal.runs());
+    let gap = availability(&records, started, cluster.clock.now());
+    let served = records.iter().filter(|r| r.is_served()).count();
+    println!("{served} of {} served; {gap:?}", records.len());
+    expect_that!(overlapping_owners(&cluster.journal.beliefs(), &runs), is_empty());
+    expect_that!(own_answers(&records), is_empty());
+    expect_that!(ran_more_than_once(&records, &runs), is_empty());
+    expect_that!(gap.keys, gt(0));
+    expect_that!(gap.longest, le(Millis(2000)));
+    cluster.clean_up();
+    Ok(())
+}
