Explore the ownership machines at random, and add the operators' command line

Cause: ownership rested on reasoning only.

Found and mended: - a probe was sent at once whenever the grant list had changed, also without vouchers; its answer caused the next, without end. Probes now keep to their interval. - a delayed answer of a server's earlier life looked like a restart, and freed shards that the later life held. An answer of another life now counts only if its order was sent after the present life was known. - a server that restarts forgets the term it has seen, so a fenced predecessor could grant there again. A new assigner now renews and grants nothing until the vouchers of every earlier holder have run out, and probes a restarted server before it frees its shards.

Ruled out: a storm of heartbeats (the bag is empty after each round in order).

--- a/crates/oriolehoist_daemon/src/control/handlers.rs
+++ b/crates/oriolehoist_daemon/src/control/handlers.rs
@@ -212,14 +212,14 @@
     type Reply = ();
 
     async fn handle(&mut self, message: OrderAnswered, cx: &mut Context<Self, ()>) {
-        let OrderAnswered { service, term, server, revoked, answer } = message;
+        let OrderAnswered { service, term, server, sent, probed, revoked, answer } = message;
         let current = self.cells.get_mut(&service).is_some_and(|c| c.assigner_of(term).is_some());
         if !current {
             return;
         }
         let event = match revoked {
             Some(grants) => Event::Revoked { server, grants, answer },
-            None => Event::ServerAnswered { server, answer },
+            None => Event::ServerAnswered { server, sent, probed, answer },
         };
         self.step(&service, event, &cx.actor_ref());
     }
--- a/crates/oriolehoist_daemon/src/control/message.rs
+++ b/crates/oriolehoist_daemon/src/control/message.rs
@@ -75,6 +75,8 @@
     pub(crate) service: ServiceName,
     pub(crate) term: Term,
     pub(crate) server: ServerIndex,
+    pub(crate) sent: Millis,
+    pub(crate) probed: bool,
     pub(crate) revoked: Option<Vec<ShardGrant>>,
     pub(crate) answer: ServerAnswer,
 }
--- a/crates/oriolehoist_daemon/src/control/send.rs
+++ b/crates/oriolehoist_daemon/src/control/send.rs
@@ -35,6 +35,8 @@
         OrderBody::Revoke { grants } => Some(grants.clone()),
         OrderBody::Probe | OrderBody::Renew { .. } => None,
     };
+    let probed = order.body == OrderBody::Probe;
+    let sent = cx.clock.now();
     let timeout = match revoked {
         Some(_) => REVOKE_TIMEOUT,
         None => ANSWER_TIMEOUT,
@@ -42,7 +44,8 @@
     let answer = cx.peers.ask(address, "/oriolehoist/order", &order, timeout).await;
     if let Ok(answer) = answer {
         let (service, term) = (order.service, order.term);
-        let _ = me.tell(OrderAnswered { service, term, server, revoked, answer }).await;
+        let _ =
+            me.tell(OrderAnswered { service, term, server, sent, probed, revoked, answer }).await;
     }
 }
 
--- a/crates/oriolehoist_ownership/src/assigner/event.rs
+++ b/crates/oriolehoist_ownership/src/assigner/event.rs
@@ -16,6 +16,10 @@
     ServerAnswered {
         /// The server.
         server: ServerIndex,
+        /// When the order was sent, by the assigner's clock.
+        sent: Millis,
+        /// Whether the order was a probe, whose answer lists what the server holds.
+        probed: bool,
         /// Its answer.
         answer: ServerAnswer,
     },
--- a/crates/oriolehoist_ownership/src/assigner/mod.rs
+++ b/crates/oriolehoist_ownership/src/assigner/mod.rs
@@ -18,7 +18,7 @@
         Timing,
         assigner::{
             predecessor::Predecessors,
-            server::ServerEntry,
+            server::{Life, ServerEntry},
             shard::{Phase, ShardEntry},
             vouching::Vouching,
         },
@@ -106,7 +106,9 @@
         let ticked = matches!(event, Event::Tick);
         match event {
             Event::Tick => {}
-            Event::ServerAnswered { server, answer } => self.on_server(now, server, &answer),
+            Event::ServerAnswered { server, sent, probed, answer } => {
+                self.on_server(now, server, sent, probed, &answer);
+            }
             Event::Revoked { server, grants, answer } => self.on_revoked(server, &answer, &grants),
             Event::Heartbeat { from, sent, answer } => self.on_heartbeat(&from, sent, &answer),
             Event::TermAccepted { from, answer } => {
@@ -232,19 +234,31 @@
         }
     }
 
-    fn on_server(&mut self, now: Millis, server: ServerIndex, answer: &ServerAnswer) {
+    fn on_server(
+        &mut self,
+        now: Millis,
+        server: ServerIndex,
+        sent: Millis,
+        probed: bool,
+        answer: &ServerAnswer,
+    ) {
         self.step_down_below(answer.highest_term);
-        let fenced = answer.highest_term == self.record.term;
-        let restarted = self.servers[server.0].on_answer(now, fenced, answer);
-        if restarted {
-            self.free_shards_of(server);
-        }
-        match answer.outcome {
-            OrderOutcome::Accepted if fenced => {
-                self.adopt_held(now, server, &answer.held);
-                self.confirm(server, answer.list);
-            }
-            _ => {}
+        let entry = &mut self.servers[server.0];
+        match entry.on_answer(now, sent, answer) {
+            Life::Earlier => return,
+            Life::Same => {}
+            // Its new life may have been granted something by an earlier assigner, which the
+            // answer to a probe will tell.
+            Life::New => self.disclaim_shards_of(server),
+        }
+        let in_force =
+            answer.outcome == OrderOutcome::Accepted && answer.highest_term == self.record.term;
+        if in_force && probed {
+            self.servers[server.0].set_fenced();
+            self.adopt_held(now, server, &answer.held);
+        }
+        if in_force {
+            self.confirm(server, answer.list);
         }
     }
 
@@ -315,29 +329,47 @@
         }
     }
 
-    /// Frees every shard of a server whose grants have certainly ended without its co-operation.
+    /// Frees every shard of a server whose grants have certainly lapsed.
     fn free_shards_of(&mut self, server: ServerIndex) {
+        self.give_up_shards_of(server, ShardEntry::free_after_loss);
+    }
+
+    /// Takes every shard from a server that has restarted.
+    fn disclaim_shards_of(&mut self, server: ServerIndex) {
+        self.give_up_shards_of(server, ShardEntry::disclaim);
+    }
+
+    fn give_up_shards_of(&mut self, server: ServerIndex, give_up: fn(&mut ShardEntry)) {
         let version = self.version.next();
         for shard in self.shards.iter_mut().filter(|s| s.owner() == Some(server)) {
-            shard.free_after_loss();
+            give_up(shard);
             shard.touch(version);
         }
         self.version = version;
         self.servers[server.0].change_list();
     }
 
+    /// Returns whether this assigner may send orders that change or prolong anything: it is
+    /// vouched for, and no earlier holder is any more.
+    ///
+    /// A server that restarts forgets which terms it has seen, so its refusal of an earlier
+    /// holder's orders is not enough.
+    fn may_act(&self, now: Millis) -> bool {
+        self.is_vouched(now) && self.predecessors.are_silenced(now)
+    }
+
     fn advance(&mut self, now: Millis, ticked: bool, effects: &mut Vec<Effect>) {
         self.predecessors.ask(now, self.record.term, effects);
         self.release_unclaimed(now);
         self.mark_lost(now);
         self.free_lapsed(now);
-        if self.is_vouched(now) {
+        if self.may_act(now) {
             self.grant_free(now);
         }
         if ticked {
             self.forget_losses(now);
         }
-        if ticked && self.is_vouched(now) {
+        if ticked && self.may_act(now) {
             self.plan_moves(now);
             self.send_revocations(now, effects);
         }
@@ -469,22 +501,23 @@
     }
 
     fn send_orders(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        let vouched = self.is_vouched(now);
+        let may_act = self.may_act(now);
         for index in 0..self.servers.len() {
             let server = ServerIndex(index);
             let entry = &self.servers[index];
-            if !entry.order_due(now, &self.timing) {
+            let echo = entry.echo(now, &self.timing).filter(|_| may_act && entry.is_fenced());
+            if !entry.order_due(now, &self.timing, echo.is_some()) {
                 continue;
             }
-            let body = match entry.echo(now, &self.timing) {
-                Some(echo) if vouched && entry.is_fenced() => OrderBody::Renew {
+            let body = match echo {
+                Some(echo) => OrderBody::Renew {
                     echo: echo.time,
                     incarnation: echo.incarnation,
                     length: self.timing.grant,
                     list: entry.list(),
                     grants: entry.needs_list().then(|| self.granted_to(server)),
                 },
-                _ => OrderBody::Probe,
+                None => OrderBody::Probe,
             };
             let renews = matches!(body, OrderBody::Renew { .. });
             self.servers[index].on_order_sent(now, renews, &self.timing);
--- a/crates/oriolehoist_ownership/src/assigner/predecessor.rs
+++ b/crates/oriolehoist_ownership/src/assigner/predecessor.rs
@@ -47,6 +47,11 @@
         self.sets.iter().all(|set| set.end().is_some_and(|end| now > end + grant))
     }
 
+    /// Returns whether no earlier holder is vouched for any more at `now`.
+    pub(super) fn are_silenced(&self, now: Millis) -> bool {
+        self.sets.iter().all(|set| set.end().is_some_and(|end| now > end))
+    }
+
     /// Asks every witness that has not yet accepted, once a heartbeat interval.
     pub(super) fn ask(&mut self, now: Millis, term: Term, effects: &mut Vec<Effect>) {
         let due = self.asked.is_none_or(|asked| now.since(asked) >= self.timing.heartbeat);
--- a/crates/oriolehoist_ownership/src/assigner/server.rs
+++ b/crates/oriolehoist_ownership/src/assigner/server.rs
@@ -15,12 +15,25 @@
     received: Millis,
 }
 
+/// Which life of a server an answer comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Life {
+    /// One that has ended since.
+    Earlier,
+    /// The one that was known.
+    Same,
+    /// A later one: the server has restarted.
+    New,
+}
+
 /// What an assigner keeps for one backend server.
 #[derive(Debug)]
 pub(super) struct ServerEntry {
     name: ServerName,
     address: SocketAddr,
     echo: Option<Echo>,
+    /// When the present life was first heard of, by the assigner's clock.
+    life_known: Millis,
     /// When every grant that may have reached the server has lapsed, by the assigner's clock.
     bound: Millis,
     fenced: bool,
@@ -41,6 +54,7 @@
             name: server.name.clone(),
             address: server.address,
             echo: None,
+            life_known: Millis::ZERO,
             bound: Millis::ZERO,
             fenced: false,
             leaving: false,
@@ -71,11 +85,23 @@
         self.load
     }
 
-    /// Takes an answer. Returns whether the server has restarted since the last one.
-    pub(super) fn on_answer(&mut self, now: Millis, fenced: bool, answer: &ServerAnswer) -> bool {
-        let restarted = self.echo.is_some_and(|e| e.incarnation != answer.incarnation);
+    /// Takes the answer to an order that was sent at `sent`. Returns whose answer it is.
+    pub(super) fn on_answer(&mut self, now: Millis, sent: Millis, answer: &ServerAnswer) -> Life {
+        let life = match self.echo {
+            None => Life::Same,
+            Some(echo) if echo.incarnation == answer.incarnation => Life::Same,
+            // Only an order that was sent after the present life was known can have been answered
+            // by a later one.
+            Some(_) if sent > self.life_known => Life::New,
+            Some(_) => return Life::Earlier,
+        };
+        if life == Life::New || self.echo.is_none() {
+            self.life_known = now;
+            self.fenced = false;
+            self.bound = Millis::ZERO;
+        }
         // An answer that was overtaken by a later one must not bring an older time back.
-        let newer = restarted || self.echo.is_none_or(|e| answer.time >= e.time);
+        let newer = life == Life::New || self.echo.is_none_or(|e| answer.time >= e.time);
         if newer {
             self.echo =
                 Some(Echo { time: answer.time, incarnation: answer.incarnation, received: now });
@@ -84,17 +110,18 @@
                 _ => answer.list,
             };
         }
-        if restarted {
-            self.bound = Millis::ZERO;
-        }
-        self.fenced |= fenced;
         self.draining = answer.load.draining;
         self.load = answer.load;
-        restarted
+        life
+    }
+
+    /// Notes that the server's present life has answered a probe of this assigner's term.
+    pub(super) fn set_fenced(&mut self) {
+        self.fenced = true;
     }
 
-    /// Returns whether the server has answered under this assigner's term, so that it takes no
-    /// order of an earlier one.
+    /// Returns whether the server's present life has answered a probe of this assigner's term, so
+    /// that what it holds is known and it takes no order of an earlier term.
     pub(super) fn is_fenced(&self) -> bool {
         self.fenced
     }
@@ -145,12 +172,14 @@
         self.list_held != self.list
     }
 
-    pub(super) fn order_due(&self, now: Millis, timing: &Timing) -> bool {
+    /// Returns whether an order is due: at intervals, and at once when `can_renew` and the list of
+    /// grants has changed. A probe is never sent at once, since its answer would ask for another.
+    pub(super) fn order_due(&self, now: Millis, timing: &Timing, can_renew: bool) -> bool {
         let every = match self.is_reachable(now, timing) {
             true => timing.renewal,
             false => timing.heartbeat,
         };
-        self.list_changed || self.sent.is_none_or(|sent| now.since(sent) >= every)
+        (self.list_changed && can_renew) || self.sent.is_none_or(|sent| now.since(sent) >= every)
     }
 
     /// Notes that an order is on its way; a renewal prolongs what may be held at the server.
--- a/crates/oriolehoist_ownership/src/assigner/shard.rs
+++ b/crates/oriolehoist_ownership/src/assigner/shard.rs
@@ -188,6 +188,14 @@
         forgets
     }
 
+    /// Takes the shard from a server that has restarted.
+    pub(super) fn disclaim(&mut self) {
+        self.known = ShardRoute { state: RouteState::OwnerLost, ..self.known.clone() };
+        self.phase = Phase::Unclaimed;
+        self.after_loss = true;
+        self.next_owner = None;
+    }
+
     /// Starts a planned move. Returns whether the shard can be moved now.
     pub(super) fn start_move(&mut self, to: ServerIndex) -> bool {
         match self.phase {
--- a/crates/oriolehoist_ownership/src/grants.rs
+++ b/crates/oriolehoist_ownership/src/grants.rs
@@ -22,6 +22,13 @@
     Lapsed,
 }
 
+impl Work {
+    /// Returns the shard that the work is for.
+    pub fn shard(&self) -> ShardId {
+        self.shard
+    }
+}
+
 /// The grants of one service at one backend server.
 ///
 /// Neither the highest term nor the least acceptable epoch of a shard ever falls, so that a
--- /dev/null
+++ b/crates/oriolehoist_ownership/tests/world/mod.rs
@@ -0,0 +1,600 @@
+//! A small world around the ownership machines: clocks that drift, messages that are delayed,
+//! repeated, reordered and lost, processes that freeze and restart, and a store that goes away.
+#![allow(dead_code, reason = "each test binary uses a part of the world")]
+
+use {
+    oriolehoist_ownership::{
+        Assigner, Effect, Event, Follower, GrantTable, PeerView, ServerIndex, Timing, Work,
+        initial_record, successor_record,
+    },
+    oriolehoist_placement::MoveBudget,
+    oriolehoist_protocol::{
+        AcceptAnswer, AcceptTerm, Heartbeat, HeartbeatAnswer, Incarnation, InstanceName,
+        LoadReport, Order, OrderBody, ServerAddress, ServerAnswer, ServerName, ServiceName,
+        ShardGrant, ShardId, Term, TermRecord, Version, Witness, ZoneName,
+    },
+    oriolehoist_time::Millis,
+    std::net::SocketAddr,
+};
+
+pub const SERVERS: usize = 2;
+pub const SHARDS: u32 = 2;
+/// How many rounds of 50 ms a world in good order has to recover in.
+const RECOVERY_ROUNDS: usize = 100;
+/// After how many rounds a holder without vouchers replaces its record.
+const ROUNDS_TO_REPLACE: usize = 10;
+/// The greatest number of messages that may be under way in good order.
+const MAX_ROUND_MESSAGES: usize = 200;
+const TIMING: Timing = Timing {
+    heartbeat: Millis(100),
+    renewal: Millis(150),
+    grant: Millis(900),
+    voucher: Millis(300),
+    lost_after: Millis(400),
+    drift_per_mille: 10,
+};
+
+/// A clock that runs a little fast or slow, in thousandths.
+#[derive(Clone, Copy, Debug)]
+struct Drift {
+    per_mille: i64,
+    offset: u64,
+}
+
+impl Drift {
+    fn at(&self, time: u64) -> Millis {
+        let skew = time as i64 * self.per_mille / 1000;
+        Millis(self.offset + (time as i64 + skew) as u64)
+    }
+}
+
+struct Server {
+    drift: Drift,
+    table: GrantTable,
+    frozen: bool,
+    work: Vec<Work>,
+    /// Revocations that wait for work in flight.
+    waiting: Vec<Message>,
+}
+
+struct Daemon {
+    drift: Drift,
+    follower: Follower,
+    assigner: Option<Assigner>,
+    incarnation: Incarnation,
+    frozen: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Order {
+        from: usize,
+        to: usize,
+        sent: Millis,
+        order: Order,
+    },
+    Answer {
+        to: usize,
+        server: usize,
+        term: Term,
+        sent: Millis,
+        probed: bool,
+        revoked: Option<Vec<ShardGrant>>,
+        answer: ServerAnswer,
+    },
+    Beat {
+        from: usize,
+        to: usize,
+        sent: Millis,
+        beat: Heartbeat,
+    },
+    Beaten {
+        to: usize,
+        from: usize,
+        sent: Millis,
+        term: Term,
+        answer: HeartbeatAnswer,
+    },
+    Accept {
+        from: usize,
+        witness: Witness,
+        request: AcceptTerm,
+    },
+    Accepted {
+        to: usize,
+        term: Term,
+        witness: Witness,
+        answer: AcceptAnswer,
+    },
+}
+
+pub struct World {
+    time: u64,
+    servers: Vec<Server>,
+    daemons: Vec<Daemon>,
+    record: Option<TermRecord>,
+    store_up: bool,
+    bag: Vec<Message>,
+    lives: u64,
+    leaving: Option<usize>,
+    pub moves: u64,
+    pub takeovers: u64,
+}
+
+fn service() -> ServiceName {
+    ServiceName::from("tides")
+}
+
+fn address(daemon: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1000 + daemon as u16))
+}
+
+fn server_addresses() -> Vec<ServerAddress> {
+    (0..SERVERS)
+        .map(|s| ServerAddress {
+            name: ServerName::from(format!("s{s}").as_str()),
+            address: SocketAddr::from(([127, 0, 0, 1], 2000 + s as u16)),
+        })
+        .collect()
+}
+
+impl World {
+    /// Creates a world of this many daemons, whose clocks drift as far apart as is allowed.
+    pub fn new(daemons: usize) -> World {
+        let drift =
+            |n: usize| Drift { per_mille: [5, -5, 0][n % 3], offset: 10_000 + 777 * n as u64 };
+        let mut world = World {
+            time: 0,
+            servers: Vec::new(),
+            daemons: Vec::new(),
+            record: None,
+            store_up: true,
+            bag: Vec::new(),
+            lives: 0,
+            leaving: None,
+            moves: 0,
+            takeovers: 0,
+        };
+        for n in 0..SERVERS {
+            let incarnation = world.next_life();
+            world.servers.push(Server {
+                drift: drift(n),
+                table: GrantTable::new(incarnation),
+                frozen: false,
+                work: Vec::new(),
+                waiting: Vec::new(),
+            });
+        }
+        for n in 0..daemons {
+            let incarnation = world.next_life();
+            let drift = drift(n + 1);
+            world.daemons.push(Daemon {
+                drift,
+                follower: follower(drift.at(0), incarnation),
+                assigner: None,
+                incarnation,
+                frozen: false,
+            });
+        }
+        world
+    }
+
+    fn next_life(&mut self) -> Incarnation {
+        self.lives += 1;
+        Incarnation(self.lives)
+    }
+
+    fn witness(&self, daemon: usize) -> Witness {
+        Witness {
+            instance: InstanceName::from(format!("d{daemon}").as_str()),
+            incarnation: self.daemons[daemon].incarnation,
+            address: address(daemon),
+        }
+    }
+
+    fn peers_of(&self, daemon: usize) -> Vec<PeerView> {
+        (0..self.daemons.len())
+            .filter(|&d| d != daemon)
+            .map(|d| PeerView { witness: self.witness(d), zone: ZoneName::from("z") })
+            .collect()
+    }
+
+    /// Carries out one step that a number stands for.
+    pub fn act(&mut self, number: u32) {
+        let pick = (number / 128) as usize;
+        match number % 128 {
+            0..24 => self.tick(pick % self.daemons.len()),
+            24..70 => self.deliver(pick),
+            70..73 => self.drop_message(pick),
+            73..76 => self.repeat_message(pick),
+            76..86 => self.time += 10 + (pick as u64 % 12) * 20,
+            86..100 => self.run_in_order(1 + pick % 6),
+            100..103 => self.take_over(pick % self.daemons.len(), !pick.is_multiple_of(5)),
+            103 => self.replace(pick % self.daemons.len(), !pick.is_multiple_of(3)),
+            104 => self.restart_server(pick % SERVERS),
+            105 => self.restart_daemon(pick % self.daemons.len()),
+            106 => self.servers[pick % SERVERS].frozen = true,
+            107..109 => self.servers.iter_mut().for_each(|s| s.frozen = false),
+            109 => {
+                let count = self.daemons.len();
+                self.daemons[pick % count].frozen = true;
+            }
+            110..112 => self.daemons.iter_mut().for_each(|d| d.frozen = false),
+            112 => self.store_up = !self.store_up,
+            113..117 => self.begin_work(pick),
+            117..121 => self.end_work(pick),
+            121..123 => self.leaving = [None, Some(0), Some(1)][pick % 3],
+            _ => self.time += 200 + (pick as u64 % 10) * 200,
+        }
+    }
+
+    /// Lets every process that isn't frozen work, and delivers every message, in rounds.
+    fn run_in_order(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            for d in 0..self.daemons.len() {
+                self.tick(d);
+            }
+            for message in std::mem::take(&mut self.bag) {
+                self.deliver_or_keep(message);
+            }
+            for message in std::mem::take(&mut self.bag) {
+                self.deliver_or_keep(message);
+            }
+            self.time += 50;
+        }
+    }
+
+    fn deliver_or_keep(&mut self, message: Message) {
+        match self.is_frozen(&message) {
+            true => self.bag.push(message),
+            false => self.receive(message),
+        }
+    }
+
+    fn tick(&mut self, d: usize) {
+        if self.daemons[d].frozen {
+            return;
+        }
+        let leaving = self.leaving.map(|s| server_addresses()[s].name.clone());
+        self.step(d, Event::ServersLeaving(leaving.into_iter().collect()));
+        self.step(d, Event::Tick);
+        self.beat(d);
+    }
+
+    fn beat(&mut self, d: usize) {
+        let sent = self.daemons[d].drift.at(self.time);
+        let Some(assigner) = &self.daemons[d].assigner else { return };
+        let beat = Heartbeat {
+            service: service(),
+            record: assigner.record().clone(),
+            delta: assigner.delta_since(Version(0)),
+            settings: Version(1),
+        };
+        let answer = self.daemons[d].follower.on_heartbeat(sent, &beat);
+        let from = InstanceName::from(format!("d{d}").as_str());
+        for to in (0..self.daemons.len()).filter(|&to| to != d) {
+            self.bag.push(Message::Beat { from: d, to, sent, beat: beat.clone() });
+        }
+        self.step(d, Event::Heartbeat { from, sent, answer });
+    }
+
+    fn step(&mut self, d: usize, event: Event) {
+        let now = self.daemons[d].drift.at(self.time);
+        let Some(assigner) = &mut self.daemons[d].assigner else { return };
+        let before = assigner.status(now).moved_shards;
+        let effects = assigner.step(now, event);
+        self.moves += assigner.status(now).moved_shards - before;
+        for effect in effects {
+            match effect {
+                Effect::Send { server, order } => {
+                    self.bag.push(Message::Order { from: d, to: server.0, sent: now, order });
+                }
+                Effect::AskAccept { witness, request } => {
+                    self.bag.push(Message::Accept { from: d, witness, request });
+                }
+                Effect::Settled => self.settle(d),
+                Effect::StepDown => self.daemons[d].assigner = None,
+            }
+        }
+    }
+
+    fn settle(&mut self, d: usize) {
+        let now = self.daemons[d].drift.at(self.time);
+        let Some(assigner) = &mut self.daemons[d].assigner else { return };
+        if self.store_up && self.record.as_ref() == Some(assigner.record()) {
+            let record = TermRecord { unsettled: Vec::new(), ..assigner.record().clone() };
+            self.record = Some(record.clone());
+            assigner.continue_under(now, record);
+        }
+    }
+
+    /// Tries to win the term. If the reply is lost, the write has taken effect all the same.
+    pub fn take_over(&mut self, d: usize, reply: bool) {
+        if !self.store_up || self.daemons[d].frozen || self.daemons[d].assigner.is_some() {
+            return;
+        }
+        let me = self.witness(d);
+        let record = match &self.record {
+            Some(held) if held.holder == me => held.clone(),
+            Some(held) => successor_record(held, me, &self.peers_of(d), server_addresses()),
+            None => initial_record(service(), me, &self.peers_of(d), server_addresses()),
+        };
+        self.record = Some(record.clone());
+        if reply {
+            self.begin(d, record);
+        }
+    }
+
+    fn begin(&mut self, d: usize, record: TermRecord) {
+        self.takeovers += 1;
+        let now = self.daemons[d].drift.at(self.time);
+        let budget = MoveBudget { moves: 1, ratio_percent: 100 };
+        let known = self.daemons[d].follower.assignment().clone();
+        self.daemons[d].assigner = Some(Assigner::new(now, TIMING, budget, record, &known));
+        self.tick(d);
+    }
+
+    /// Replaces a holder's own record, as when its witnesses have changed.
+    fn replace(&mut self, d: usize, reply: bool) {
+        let now = self.daemons[d].drift.at(self.time);
+        let (me, peers) = (self.witness(d), self.peers_of(d));
+        let frozen = self.daemons[d].frozen;
+        let Some(assigner) = &mut self.daemons[d].assigner else { return };
+        let current = self.record.as_ref() == Some(assigner.record());
+        if !self.store_up || !current || frozen {
+            return;
+        }
+        let record = successor_record(assigner.record(), me, &peers, server_addresses());
+        self.record = Some(record.clone());
+        if reply {
+            assigner.continue_under(now, record);
+        }
+    }
+
+    /// Does what the runtime does for a holder that lacks vouchers: it looks at the store, and
+    /// names other witnesses.
+    fn replace_unvouched(&mut self) {
+        for d in 0..self.daemons.len() {
+            let now = self.daemons[d].drift.at(self.time);
+            let me = self.witness(d);
+            let Some(assigner) = &mut self.daemons[d].assigner else { continue };
+            match &self.record {
+                Some(held) if held.holder != me => self.daemons[d].assigner = None,
+                Some(held) if held != assigner.record() => {
+                    assigner.continue_under(now, held.clone());
+                }
+                _ if !assigner.is_vouched(now) => self.replace(d, true),
+                _ => {}
+            }
+        }
+    }
+
+    fn restart_server(&mut self, s: usize) {
+        let incarnation = self.next_life();
+        let server = &mut self.servers[s];
+        server.table = GrantTable::new(incarnation);
+        server.work.clear();
+        server.waiting.clear();
+        server.frozen = false;
+    }
+
+    fn restart_daemon(&mut self, d: usize) {
+        let incarnation = self.next_life();
+        let now = self.daemons[d].drift.at(self.time);
+        let daemon = &mut self.daemons[d];
+        daemon.incarnation = incarnation;
+        daemon.follower = follower(now, incarnation);
+        daemon.assigner = None;
+        daemon.frozen = false;
+    }
+
+    fn begin_work(&mut self, pick: usize) {
+        let server = &mut self.servers[pick % SERVERS];
+        let now = server.drift.at(self.time);
+        let live = server.table.live(now);
+        if let (false, Some(grant)) = (server.frozen, live.get(pick / 7 % live.len().max(1))) {
+            server.work.extend(server.table.begin(now, grant.shard, grant.epoch));
+        }
+    }
+
+    fn end_work(&mut self, pick: usize) {
+        let s = pick % SERVERS;
+        let server = &mut self.servers[s];
+        if server.frozen || server.work.is_empty() {
+            return;
+        }
+        let work = server.work.swap_remove(pick / 7 % server.work.len());
+        server.table.end(work);
+        for message in std::mem::take(&mut server.waiting) {
+            self.receive(message);
+        }
+    }
+
+    fn deliver(&mut self, pick: usize) {
+        if self.bag.is_empty() {
+            return;
+        }
+        // Half of the deliveries take a recent message, the others any.
+        let at = match pick.is_multiple_of(2) {
+            true => self.bag.len() - 1 - pick / 2 % self.bag.len().min(4),
+            false => pick / 2 % self.bag.len(),
+        };
+        if !self.is_frozen(&self.bag[at]) {
+            let message = self.bag.remove(at);
+            self.receive(message);
+        }
+    }
+
+    fn drop_message(&mut self, pick: usize) {
+        if !self.bag.is_empty() {
+            let at = pick % self.bag.len();
+            self.bag.remove(at);
+        }
+    }
+
+    fn repeat_message(&mut self, pick: usize) {
+        if !self.bag.is_empty() {
+            let message = self.bag[pick % self.bag.len()].clone();
+            self.bag.push(message);
+        }
+    }
+
+    fn is_frozen(&self, message: &Message) -> bool {
+        match message {
+            Message::Order { to, .. } => self.servers[*to].frozen,
+            Message::Answer { to, .. }
+            | Message::Beat { to, .. }
+            | Message::Beaten { to, .. }
+            | Message::Accepted { to, .. } => self.daemons[*to].frozen,
+            Message::Accept { witness, .. } => self.daemons[index_of(witness)].frozen,
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        match message {
+            Message::Order { from, to, sent, order } => self.on_order(from, to, sent, order),
+            Message::Answer { to, server, term, sent, probed, revoked, answer } => {
+                let server = ServerIndex(server);
+                let event = match revoked {
+                    Some(grants) => Event::Revoked { server, grants, answer },
+                    None => Event::ServerAnswered { server, sent, probed, answer },
+                };
+                self.step_under(to, term, event);
+            }
+            Message::Beat { from, to, sent, beat } => self.on_beat(from, to, sent, &beat),
+            Message::Beaten { to, from, sent, term, answer } => {
+                let from = InstanceName::from(format!("d{from}").as_str());
+                self.step_under(to, term, Event::Heartbeat { from, sent, answer });
+            }
+            Message::Accept { from, witness, request } => {
+                let daemon = &mut self.daemons[index_of(&witness)];
+                let answer = daemon.follower.on_accept(daemon.drift.at(self.time), &request);
+                let term = request.term;
+                self.bag.push(Message::Accepted { to: from, term, witness, answer });
+            }
+            Message::Accepted { to, term, witness, answer } => {
+                self.step_under(to, term, Event::TermAccepted { from: witness, answer });
+            }
+        }
+    }
+
+    fn step_under(&mut self, d: usize, term: Term, event: Event) {
+        let assigner = self.daemons[d].assigner.as_ref();
+        if assigner.is_some_and(|assigner| assigner.record().term == term) {
+            self.step(d, event);
+        }
+    }
+
+    fn on_order(&mut self, from: usize, to: usize, sent: Millis, order: Order) {
+        let server = &mut self.servers[to];
+        let now = server.drift.at(self.time);
+        let mut answer = server.table.take(now, &order, LoadReport::default());
+        answer.time = now;
+        let term = order.term;
+        let probed = order.body == OrderBody::Probe;
+        let revoked = match &order.body {
+            OrderBody::Revoke { grants } => Some(grants.clone()),
+            _ => None,
+        };
+        let idle = revoked.as_ref().is_none_or(|grants| server.table.is_idle(grants));
+        match idle {
+            true => self.bag.push(Message::Answer {
+                to: from,
+                server: to,
+                term,
+                sent,
+                probed,
+                revoked,
+                answer,
+            }),
+            // The order is taken again once work has ended; it changes nothing a second time.
+            false => server.waiting.push(Message::Order { from, to, sent, order }),
+        }
+    }
+
+    fn on_beat(&mut self, from: usize, to: usize, sent: Millis, beat: &Heartbeat) {
+        let daemon = &mut self.daemons[to];
+        let now = daemon.drift.at(self.time);
+        let answer = daemon.follower.on_heartbeat(now, beat);
+        let accepted = answer.accepted;
+        let term = beat.record.term;
+        self.bag.push(Message::Beaten { to: from, from: to, sent, term, answer: answer.clone() });
+        let own = HeartbeatAnswer { vouched: false, accepted, ..answer };
+        let from = InstanceName::from(format!("d{from}").as_str());
+        self.step(to, Event::Heartbeat { from, sent, answer: own });
+    }
+
+    /// Describes a broken promise, if there is one now.
+    pub fn violation(&self) -> Option<String> {
+        for shard in (0..SHARDS).map(ShardId) {
+            let owners: Vec<usize> = (0..SERVERS).filter(|&s| self.owns(s, shard)).collect();
+            if owners.len() > 1 {
+                return Some(format!("at {}: {owners:?} own shard {shard}", self.time));
+            }
+            for (s, server) in self.servers.iter().enumerate() {
+                let now = server.drift.at(self.time);
+                let lasting =
+                    |w: &&Work| w.shard() == shard && server.table.may_take_effect(now, w);
+                let works = server.work.iter().any(|w| lasting(&w));
+                if works && owners.iter().any(|&owner| owner != s) {
+                    return Some(format!(
+                        "at {}: work of {s} while {owners:?} own {shard}",
+                        self.time
+                    ));
+                }
+            }
+        }
+        None
+    }
+
+    fn owns(&self, s: usize, shard: ShardId) -> bool {
+        let server = &self.servers[s];
+        let now = server.drift.at(self.time);
+        server.table.live(now).iter().any(|grant| grant.shard == shard)
+    }
+
+    /// Ends every fault and runs in order; returns whether every shard is owned then.
+    pub fn recovers(&mut self) -> bool {
+        self.store_up = true;
+        self.leaving = None;
+        for server in &mut self.servers {
+            server.frozen = false;
+            for work in std::mem::take(&mut server.work) {
+                server.table.end(work);
+            }
+        }
+        for daemon in &mut self.daemons {
+            daemon.frozen = false;
+        }
+        for s in 0..SERVERS {
+            let waiting = std::mem::take(&mut self.servers[s].waiting);
+            self.bag.extend(waiting);
+        }
+        for round in 0..RECOVERY_ROUNDS {
+            if round % ROUNDS_TO_REPLACE == 0 {
+                self.replace_unvouched();
+            }
+            if self.daemons.iter().all(|d| d.assigner.is_none()) {
+                self.take_over(0, true);
+            }
+            self.run_in_order(1);
+            if self.violation().is_some() {
+                return false;
+            }
+        }
+        // What is still under way is what one round brings forth; more would be a storm.
+        if self.bag.len() > MAX_ROUND_MESSAGES {
+            return false;
+        }
+        let owned = |shard| (0..SERVERS).any(|s| self.owns(s, shard));
+        (0..SHARDS).map(ShardId).all(owned)
+    }
+}
+
+fn follower(now: Millis, incarnation: Incarnation) -> Follower {
+    Follower::new(now, incarnation, service(), SHARDS, TIMING)
+}
+
+fn index_of(witness: &Witness) -> usize {
+    usize::from(witness.address.port()) - 1000
+}
--- a/crates/oriolehoist_settings/src/document/cross.rs
+++ b/crates/oriolehoist_settings/src/document/cross.rs
@@ -24,6 +24,35 @@
     Problems::none_or(cx.problems, ())
 }
 
+/// Checks that a change leaves alone what is fixed for the life of a service.
+///
+/// # Errors
+///
+/// Returns every place that changes such a value.
+pub(super) fn check_change(
+    root: &Node,
+    before: &Settings,
+    after: &Settings,
+) -> Result<(), Problems> {
+    let mut cx = Cx { root, problems: Vec::new() };
+    for (name, new) in &after.services {
+        let Some(old) = before.services.get(name) else { continue };
+        let name = name.as_str();
+        let fixed = "the same value for the life of the service";
+        let mut check = |setting: &str, old: String, new: String| {
+            if old != new {
+                let expected = format!("{fixed}, which is {old}");
+                cx.report(&["services", name, setting], expected, new);
+            }
+        };
+        check("shards", old.shards.to_string(), new.shards.to_string());
+        check("keyed", old.keyed.to_string(), new.keyed.to_string());
+        let (old, new) = (before.timing_of(old), after.timing_of(new));
+        check("timing", format!("{old:?}"), format!("{new:?}"));
+    }
+    Problems::none_or(cx.problems, ())
+}
+
 struct Cx<'a> {
     root: &'a Node,
     problems: Vec<Problem>,
--- a/crates/oriolehoist_settings/src/document/mod.rs
+++ b/crates/oriolehoist_settings/src/document/mod.rs
@@ -45,6 +45,19 @@
     Ok(Checked { settings, json })
 }
 
+/// Parses and checks a document that is to replace settings in force.
+///
+/// # Errors
+///
+/// Returns every problem of the document itself, or else every change that a running service
+/// does not allow: what a key's shard and the safety of ownership rest on is fixed.
+pub fn parse_change(text: &str, before: &Settings) -> Result<Checked, Problems> {
+    let checked = parse(text)?;
+    let root = parse_node(text)?;
+    cross::check_change(&root, before, &checked.settings)?;
+    Ok(checked)
+}
+
 fn oversized(bytes: usize) -> Problem {
     Problem {
         position: Default::default(),
--- a/crates/oriolehoist_settings/src/lib.rs
+++ b/crates/oriolehoist_settings/src/lib.rs
@@ -19,7 +19,7 @@
 mod version;
 
 pub use {
-    document::{Checked, parse},
+    document::{Checked, parse, parse_change},
     instance::{InstanceFile, parse_instance},
     merge::{Clash, MergeResult, Side, difference, merge},
     problem::{Position, Problem, Problems},
--- a/src/bin/oriolectl.rs
+++ b/src/bin/oriolectl.rs
@@ -1,3 +1,19 @@
 //! The operators' command line.
 
-fn main() {}
+use {
+    oriolehoist_ctl::{Args, Ending, run},
+    std::process::ExitCode,
+};
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ending = match runtime {
+        Ok(runtime) => runtime.block_on(run(args)),
+        Err(error) => {
+            eprintln!("oriolectl: {error}");
+            Ending::Unreachable
+        }
+    };
+    ExitCode::from(ending.code())
+}
