Script failures in a small scenario language, and prove one owner by twelve of them

Cause: the promise of one owner had one test. Now a scenario names the site, the load, timed faults and expectations; the judge reads the servers' and the callers' records only, and judges the standing promises in every scenario.

--- a/crates/oriolehoist_ownership/tests/world/mod.rs
+++ b/crates/oriolehoist_ownership/tests/world/mod.rs
@@ -108,6 +108,40 @@
     },
 }
 
+/// A process of the world.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Node {
+    Daemon(usize),
+    Server(usize),
+}
+
+/// Messages from one process to another are lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Cut {
+    from: Node,
+    to: Node,
+}
+
+impl Message {
+    /// Returns between which processes the message goes.
+    fn way(&self) -> Cut {
+        let (from, to) = match self {
+            Message::Order { from, to, .. } => (Node::Daemon(*from), Node::Server(*to)),
+            Message::Answer { to, server, .. } => (Node::Server(*server), Node::Daemon(*to)),
+            Message::Beat { from, to, .. } | Message::Beaten { to, from, .. } => {
+                (Node::Daemon(*from), Node::Daemon(*to))
+            }
+            Message::Accept { from, witness, .. } => {
+                (Node::Daemon(*from), Node::Daemon(index_of(witness)))
+            }
+            Message::Accepted { to, witness, .. } => {
+                (Node::Daemon(index_of(witness)), Node::Daemon(*to))
+            }
+        };
+        Cut { from, to }
+    }
+}
+
 pub struct World {
     time: u64,
     servers: Vec<Server>,
@@ -117,6 +151,8 @@
     bag: Vec<Message>,
     lives: u64,
     leaving: Option<usize>,
+    /// Pairs of processes between which no message passes.
+    cuts: Vec<Cut>,
     pub moves: u64,
     pub takeovers: u64,
 }
@@ -152,6 +188,7 @@
             bag: Vec::new(),
             lives: 0,
             leaving: None,
+            cuts: Vec::new(),
             moves: 0,
             takeovers: 0,
         };
@@ -224,6 +261,9 @@
             113..117 => self.begin_work(pick),
             117..121 => self.end_work(pick),
             121..123 => self.leaving = [None, Some(0), Some(1)][pick % 3],
+            123 => self.isolate(pick),
+            124 => self.cut(pick),
+            125 => self.cuts.clear(),
             _ => self.time += 200 + (pick as u64 % 10) * 200,
         }
     }
@@ -244,10 +284,39 @@
         }
     }
 
+    /// Cuts a daemon off from the other daemons, or from one way to and from them.
+    fn isolate(&mut self, pick: usize) {
+        let count = self.daemons.len();
+        let lone = Node::Daemon(pick % count);
+        for other in (0..count).map(Node::Daemon).filter(|other| *other != lone) {
+            if !(pick / 8).is_multiple_of(4) {
+                self.cuts.push(Cut { from: lone, to: other });
+            }
+            if !(pick / 32).is_multiple_of(4) {
+                self.cuts.push(Cut { from: other, to: lone });
+            }
+        }
+    }
+
+    /// Cuts a daemon off from a server.
+    fn cut(&mut self, pick: usize) {
+        let daemon = Node::Daemon(pick % self.daemons.len());
+        let server = Node::Server(pick / 8 % SERVERS);
+        self.cuts.push(Cut { from: daemon, to: server });
+        if !(pick / 32).is_multiple_of(4) {
+            self.cuts.push(Cut { from: server, to: daemon });
+        }
+    }
+
+    fn is_cut(&self, message: &Message) -> bool {
+        self.cuts.contains(&message.way())
+    }
+
     fn deliver_or_keep(&mut self, message: Message) {
-        match self.is_frozen(&message) {
-            true => self.bag.push(message),
-            false => self.receive(message),
+        match (self.is_cut(&message), self.is_frozen(&message)) {
+            (true, _) => {}
+            (false, true) => self.bag.push(message),
+            (false, false) => self.receive(message),
         }
     }
 
@@ -419,7 +488,9 @@
             true => self.bag.len() - 1 - pick / 2 % self.bag.len().min(4),
             false => pick / 2 % self.bag.len(),
         };
-        if !self.is_frozen(&self.bag[at]) {
+        if self.is_cut(&self.bag[at]) {
+            self.bag.remove(at);
+        } else if !self.is_frozen(&self.bag[at]) {
             let message = self.bag.remove(at);
             self.receive(message);
         }
@@ -557,6 +628,7 @@
     pub fn recovers(&mut self) -> bool {
         self.store_up = true;
         self.leaving = None;
+        self.cuts.clear();
         for server in &mut self.servers {
             server.frozen = false;
             for work in std::mem::take(&mut server.work) {
--- a/crates/oriolehoist_testkit/src/cluster/cluster.rs
+++ b/crates/oriolehoist_testkit/src/cluster/cluster.rs
@@ -402,6 +402,16 @@
         self.daemons[index].ip
     }
 
+    /// Returns the address that an operator connects from, and where the store is for an operator.
+    pub fn operator_end(&self) -> (IpAddr, std::net::SocketAddr) {
+        (self.addresses.ip(6), self.addresses.store_edge())
+    }
+
+    /// Returns how many servers run.
+    pub fn alive_servers(&self) -> usize {
+        self.servers.iter().filter(|handle| handle.server.is_alive()).count()
+    }
+
     /// Returns where the daemons' files and logs are.
     pub fn folder(&self) -> &std::path::Path {
         &self.folder
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,69 @@
+//! Each scenario of `tests/scenarios/`, against daemon processes.
+
+use {
+    googletest::prelude::*,
+    oriolehoist_testkit::{
+        cluster::DaemonMode,
+        scenario::{parse, run},
+    },
+    std::{collections::BTreeSet, fs, path::Path},
+    tokio::sync::Semaphore,
+};
+
+/// How many sites run at once. More would share the cores too thinly for the users' bounds.
+static SITES: Semaphore = Semaphore::const_new(3);
+
+/// Runs one scenario, and fails with every broken promise.
+async fn play(name: &str) {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/scenarios/{name}.scn"));
+    let text = fs::read_to_string(file).expect("the scenario's file");
+    let script = parse(&text).expect("a correct scenario");
+    let _turn = SITES.acquire().await;
+    let mode = DaemonMode::Process(env!("CARGO_BIN_EXE_oriolehoist").into());
+    let report = run(&script, mode).await.expect("the scenario runs");
+    println!(
+        "{name}: {} of {} served, longest gap {}, {} moves",
+        report.served, report.requests, report.availability.longest, report.moves
+    );
+    expect_that!(report.violations, is_empty());
+}
+
+/// Declares a test for each scenario, and the list of them.
+macro_rules! scenarios {
+    ($($name:ident)*) => {
+        const LISTED: &[&str] = &[$(stringify!($name)),*];
+        $(
+            #[gtest]
+            #[tokio::test(flavor = "multi_thread")]
+            async fn $name() {
+                play(stringify!($name)).await;
+            }
+        )*
+    };
+}
+
+scenarios! {
+    one_owner_killed
+    one_owner_frozen_and_thawed
+    one_owner_assigner_killed
+    one_owner_assigner_frozen_believing
+    one_owner_assigner_and_owner_killed
+    one_owner_twice_in_a_row
+    one_owner_assigner_cut_from_store
+    one_owner_assigner_isolated
+    one_owner_assigner_beside_old_owner
+    one_owner_one_way_cuts
+    one_owner_lost_reply_on_takeover
+    one_owner_store_away
+}
+
+#[gtest]
+fn every_scenario_file_is_run() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let files: BTreeSet<String> = fs::read_dir(folder)
+        .expect("the folder of scenarios")
+        .filter_map(|entry| Some(entry.ok()?.path().file_stem()?.to_str()?.to_owned()))
+        .collect();
+    let listed: BTreeSet<String> = LISTED.iter().map(|name| (*name).to_owned()).collect();
+    expect_that!(files, eq(&listed));
+}
