Take a term over only with a majority of the witnesses it will need

Ruled out: a wrong wait for the predecessor (each term ended before it began), and the store (each write answered within 5 ms).

Change: before it writes, a daemon asks the witnesses of every unsettled set whether they miss the holder; without a majority it does not write, since it could not act anyway. A holder that steps down waits like any other. For a fleet that was lost as a whole there is 'oriolectl release'.

--- a/crates/oriolehoist_ctl/src/args.rs
+++ b/crates/oriolehoist_ctl/src/args.rs
@@ -26,6 +26,7 @@
     Status(Status),
     Why(Why),
     Drain(Drain),
+    Release(Release),
 }
 
 /// Check a settings document without applying it.
@@ -141,3 +142,19 @@
     #[argh(switch)]
     pub(crate) undo: bool,
 }
+
+/// Release a service's term whose daemons have all gone for good. Only for an operator who has made
+/// sure that no daemon named in the record runs any more: keys could get two owners otherwise.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "release")]
+pub(crate) struct Release {
+    /// the service
+    #[argh(positional)]
+    pub(crate) service: String,
+    /// where the platform's store is
+    #[argh(option)]
+    pub(crate) store: SocketAddr,
+    /// confirms that every daemon that the record names has ended
+    #[argh(switch)]
+    pub(crate) all_daemons_have_ended: bool,
+}
--- a/crates/oriolehoist_ctl/src/command/mod.rs
+++ b/crates/oriolehoist_ctl/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod daemons;
 mod documents;
 mod receipts;
+mod terms;
 
 use {
     crate::{Args, CommitError, Ending, args::Command, commit::Committed, output::Output},
@@ -21,6 +22,7 @@
         Command::Show(args) => documents::show(&args).await,
         Command::Drain(args) => documents::drain(&args).await,
         Command::Status(args) => daemons::status(&args).await,
+        Command::Release(args) => terms::release(&args).await,
         Command::Why(args) => receipts::why(&args),
     };
     let output = output.unwrap_or_else(|error| failure(&error));
--- a/crates/oriolehoist_daemon/src/control/assigning.rs
+++ b/crates/oriolehoist_daemon/src/control/assigning.rs
@@ -51,6 +51,7 @@
     }
 
     fn carry_out(&mut self, name: &ServiceName, effect: Effect, me: &ActorRef<Control>) {
+        let now = self.now();
         let Some(cell) = self.cells.get_mut(name) else { return };
         let Some(assigner) = cell.assigner.as_ref() else { return };
         let record = assigner.record();
@@ -71,6 +72,7 @@
             Effect::StepDown => {
                 report(LogEvent::TermLost, format_args!("{name}: term {}", record.term));
                 cell.assigner = None;
+                cell.follower.postpone_take_over(now);
             }
         }
     }
--- a/crates/oriolehoist_daemon/src/control/cell.rs
+++ b/crates/oriolehoist_daemon/src/control/cell.rs
@@ -1,6 +1,6 @@
 use {
     crate::control::message::ServiceStatus,
-    oriolehoist_ownership::{Assigner, Follower, Timing},
+    oriolehoist_ownership::{Assigner, Follower, Rank, Timing},
     oriolehoist_placement::MoveBudget,
     oriolehoist_platform::Revision,
     oriolehoist_protocol::{InstanceName, RouteState, ServiceName, Term, Version},
@@ -75,6 +75,11 @@
         self.assigner.as_mut().filter(|assigner| assigner.record().term == term)
     }
 
+    /// Returns whether the holder of the term has been silent for long, whoever it is.
+    pub(crate) fn misses_holder(&self, now: Millis) -> bool {
+        self.assigner.is_none() && self.follower.should_take_over(now, Rank(0))
+    }
+
     /// Returns whether a heartbeat is due: at intervals, and at once when the assignment changed.
     pub(crate) fn heartbeat_due(&self, now: Millis) -> bool {
         let changed =
--- a/crates/oriolehoist_daemon/src/control/election.rs
+++ b/crates/oriolehoist_daemon/src/control/election.rs
@@ -8,10 +8,15 @@
         },
         process::Shared,
     },
+    futures::future::join_all,
     kameo::actor::ActorRef,
     oriolehoist_ownership::{PeerView, initial_record, successor_record},
     oriolehoist_platform::{Revision, StoreError, Swap},
-    oriolehoist_protocol::{Assignment, ServerAddress, ServiceName, TermRecord},
+    oriolehoist_protocol::{
+        Assignment, HolderAnswer, HolderQuestion, ServerAddress, ServiceName, TermRecord, Witness,
+        majority,
+    },
+    oriolehoist_time::Millis,
     serde::de::DeserializeOwned,
     smol_str::format_smolstr,
     std::sync::Arc,
@@ -28,6 +33,9 @@
     Settle { from: TermRecord },
 }
 
+/// The longest wait for a witness's word on the present holder.
+const VOTE_TIMEOUT: Millis = Millis(150);
+
 /// Returns the store's key of a service's record.
 fn record_key(service: &ServiceName) -> String {
     format!("term/{service}")
@@ -78,6 +86,9 @@
         (Some((held, revision)), Attempt::TakeOver { .. }) if held.holder == cx.me => {
             return Ok(Some(FoundRecord { record: held.clone(), revision: *revision }));
         }
+        (Some((held, _)), Attempt::TakeOver { .. }) if !is_wanted(cx, held).await => {
+            return Ok(None);
+        }
         (Some((held, revision)), Attempt::TakeOver { peers, servers }) => {
             (successor_record(held, cx.me.clone(), peers, servers.clone()), *revision)
         }
@@ -104,6 +115,31 @@
     }
 }
 
+/// Returns whether a majority of every set of witnesses that a new holder depends on can be
+/// reached and misses the present holder, too.
+///
+/// Without them a new holder could do nothing, and would only disturb one that can.
+async fn is_wanted(cx: &Shared, held: &TermRecord) -> bool {
+    let sets = held.unsettled.iter().chain([&held.witnesses]);
+    for set in sets.filter(|set| !set.is_empty()) {
+        let votes = set.iter().map(|witness| misses_holder(cx, held, witness));
+        let votes = join_all(votes).await.into_iter().filter(|missing| *missing).count();
+        if votes < majority(set) {
+            return false;
+        }
+    }
+    true
+}
+
+async fn misses_holder(cx: &Shared, held: &TermRecord, witness: &Witness) -> bool {
+    if witness.address == cx.me.address {
+        return true;
+    }
+    let question = HolderQuestion { service: held.service.clone(), term: held.term };
+    let answer = cx.peers.ask(witness.address, "/missing", &question, VOTE_TIMEOUT).await;
+    answer.is_ok_and(|HolderAnswer { missing }| missing)
+}
+
 async fn read_found(cx: &Shared, key: &str) -> Result<Option<FoundRecord>, StoreError> {
     let present = read(cx, key).await?;
     Ok(present.map(|(record, revision)| FoundRecord { record, revision }))
--- a/crates/oriolehoist_daemon/src/control/handlers.rs
+++ b/crates/oriolehoist_daemon/src/control/handlers.rs
@@ -4,7 +4,7 @@
     crate::control::{
         actor::Control,
         message::{
-            AcceptAnswered, AskAssignment, AskHello, AskPlan, AskSettings, AskStatus,
+            AcceptAnswered, AskAssignment, AskHello, AskMissing, AskPlan, AskSettings, AskStatus,
             AssignmentArrived, AssignmentStored, DaemonStatus, HeartbeatAnswered, InstancesListed,
             OrderAnswered, PeerAccept, PeerHeartbeat, PeerPlan, PeerResigns, PeerSeen,
             RecordAttempted, Reply, SettingsArrived, Stop, Tick,
@@ -12,7 +12,9 @@
     },
     kameo::message::{Context, Message},
     oriolehoist_ownership::Event,
-    oriolehoist_protocol::{AcceptAnswer, Assignment, HeartbeatAnswer, PeerHello, ServiceName},
+    oriolehoist_protocol::{
+        AcceptAnswer, Assignment, HeartbeatAnswer, HolderAnswer, PeerHello, ServiceName,
+    },
     oriolehoist_settings::SettingsVersion,
     std::sync::Arc,
 };
@@ -96,6 +98,21 @@
     }
 }
 
+impl Message<AskMissing> for Control {
+    type Reply = Reply<HolderAnswer>;
+
+    async fn handle(
+        &mut self,
+        AskMissing(question): AskMissing,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let now = self.now();
+        let cell = self.cells.get(&question.service);
+        // A daemon that does not know the service yet has nothing to miss.
+        Reply(HolderAnswer { missing: cell.is_none_or(|cell| cell.misses_holder(now)) })
+    }
+}
+
 impl Message<AskHello> for Control {
     type Reply = Reply<PeerHello>;
 
--- a/crates/oriolehoist_daemon/src/control/message.rs
+++ b/crates/oriolehoist_daemon/src/control/message.rs
@@ -4,8 +4,9 @@
     oriolehoist_ownership::{AssignerStatus, ServerIndex},
     oriolehoist_platform::{Instance, Revision},
     oriolehoist_protocol::{
-        AcceptAnswer, AcceptTerm, Assignment, Heartbeat, HeartbeatAnswer, InstanceName, PeerHello,
-        Resignation, ServerAnswer, ServiceName, ShardGrant, Term, TermRecord, Version, Witness,
+        AcceptAnswer, AcceptTerm, Assignment, Heartbeat, HeartbeatAnswer, HolderQuestion,
+        InstanceName, PeerHello, Resignation, ServerAnswer, ServiceName, ShardGrant, Term,
+        TermRecord, Version, Witness,
     },
     oriolehoist_settings::SettingsVersion,
     oriolehoist_time::Millis,
@@ -32,6 +33,9 @@
 /// An assigner gave up its term.
 pub(crate) struct PeerResigns(pub(crate) Resignation);
 
+/// A peer asks whether the holder of a term is missed here.
+pub(crate) struct AskMissing(pub(crate) HolderQuestion);
+
 /// A peer asks who this daemon is.
 pub(crate) struct AskHello;
 
--- a/crates/oriolehoist_daemon/src/control/mod.rs
+++ b/crates/oriolehoist_daemon/src/control/mod.rs
@@ -15,8 +15,8 @@
 pub(crate) use {
     actor::Control,
     message::{
-        AskAssignment, AskHello, AskSettings, AskStatus, PeerAccept, PeerHeartbeat, PeerResigns,
-        Reply, Stop,
+        AskAssignment, AskHello, AskMissing, AskSettings, AskStatus, PeerAccept, PeerHeartbeat,
+        PeerResigns, Reply, Stop,
     },
     tasks::spawn_tasks,
 };
--- a/crates/oriolehoist_daemon/src/listener/peers.rs
+++ b/crates/oriolehoist_daemon/src/listener/peers.rs
@@ -2,8 +2,8 @@
     crate::{
         connection::{MAX_MESSAGE_BYTES, decode, encode},
         control::{
-            AskAssignment, AskHello, AskSettings, Control, PeerAccept, PeerHeartbeat, PeerResigns,
-            Reply,
+            AskAssignment, AskHello, AskMissing, AskSettings, Control, PeerAccept, PeerHeartbeat,
+            PeerResigns, Reply,
         },
         process::{Event, Shared, report},
     },
@@ -18,7 +18,7 @@
     kameo::{actor::ActorRef, message::Message},
     oriolehoist_admission::Fingerprint,
     oriolehoist_protocol::{
-        AcceptTerm, Heartbeat, PeerHello, Resignation, ServiceName, SuspectNotice,
+        AcceptTerm, Heartbeat, HolderQuestion, PeerHello, Resignation, ServiceName, SuspectNotice,
     },
     serde::{Serialize, de::DeserializeOwned},
     std::sync::Arc,
@@ -37,6 +37,7 @@
         .route("/heartbeat", post(heartbeat))
         .route("/accept", post(accept))
         .route("/resign", post(resign))
+        .route("/missing", post(missing))
         .route("/settings", post(settings))
         .route("/assignment", post(assignment))
         .route("/suspect", post(suspect))
@@ -75,6 +76,13 @@
     }
 }
 
+async fn missing(State(state): State<PeersState>, body: Bytes) -> Response {
+    match read::<HolderQuestion>(&body) {
+        Ok(question) => ask(&state, AskMissing(question)).await,
+        Err(malformed) => malformed.into_response(),
+    }
+}
+
 async fn settings(State(state): State<PeersState>) -> Response {
     ask(&state, AskSettings).await
 }
--- a/crates/oriolehoist_ownership/src/record.rs
+++ b/crates/oriolehoist_ownership/src/record.rs
@@ -73,7 +73,8 @@
     servers: Vec<ServerAddress>,
 ) -> TermRecord {
     let mut unsettled = previous.unsettled.clone();
-    if !unsettled.contains(&previous.witnesses) {
+    // A record without witnesses is one that an operator has released.
+    if !previous.witnesses.is_empty() && !unsettled.contains(&previous.witnesses) {
         unsettled.push(previous.witnesses.clone());
     }
     TermRecord {
--- a/crates/oriolehoist_protocol/src/lib.rs
+++ b/crates/oriolehoist_protocol/src/lib.rs
@@ -29,8 +29,8 @@
         Epoch, Incarnation, InstanceName, ServerName, ServiceName, ShardId, Term, Version, ZoneName,
     },
     peer::{
-        AcceptAnswer, AcceptTerm, Heard, Heartbeat, HeartbeatAnswer, PeerHello, Resignation,
-        SuspectNotice,
+        AcceptAnswer, AcceptTerm, Heard, Heartbeat, HeartbeatAnswer, HolderAnswer, HolderQuestion,
+        PeerHello, Resignation, SuspectNotice,
     },
     record::{ServerAddress, TermRecord, Witness, majority},
     server::{HeldGrant, LoadReport, Order, OrderBody, OrderOutcome, ServerAnswer, ShardGrant},
--- a/crates/oriolehoist_protocol/src/peer.rs
+++ b/crates/oriolehoist_protocol/src/peer.rs
@@ -85,6 +85,22 @@
     pub assignment: (Term, Version),
 }
 
+/// Asks a witness whether it misses the holder of a service's term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderQuestion {
+    /// The service.
+    pub service: ServiceName,
+    /// The term of the present record.
+    pub term: Term,
+}
+
+/// A witness's answer to [`HolderQuestion`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderAnswer {
+    /// Whether the holder has been silent here for so long that it should be replaced.
+    pub missing: bool,
+}
+
 /// An assigner that stops says so, and the others need not wait for its silence.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resignation {
