--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -28,5 +28,5 @@
     limit::AdaptiveLimit,
     queue::{ClassQueue, Ticket, Waiting},
     retry::RetryBudget,
-    suspects::{Fingerprint, Judgement, Suspects},
+    suspects::{Crash, Fingerprint, Judgement, Suspects},
 };
--- a/crates/oriolehoist_ctl/src/commit.rs
+++ b/crates/oriolehoist_ctl/src/commit.rs
@@ -71,10 +71,10 @@
 ) -> Result<Committed, CommitError> {
     let write_id = format!("{author}-{:016x}", fastrand::u64(..));
     let mut attempted: Option<Attempted> = None;
-    for _ in 0..MAX_TRIES {
+    for tries in 1..=MAX_TRIES {
         let head = match store.get(HEAD_KEY).await {
             Ok(entry) => Head::read(entry)?,
-            Err(error) if attempted.is_none() => return Err(error.into()),
+            Err(error) if attempted.is_none() && tries == MAX_TRIES => return Err(error.into()),
             Err(_) => {
                 sleep(PAUSE).await;
                 continue;
@@ -213,7 +213,12 @@
     for _ in 0..MAX_TRIES {
         match store.compare_and_swap(&key, Revision::ABSENT, value.clone()).await {
             Ok(_) => return Ok(()),
-            Err(error) if error.may_have_taken_effect() => sleep(PAUSE).await,
+            Err(error) if error.may_have_taken_effect() => {
+                if store.get(&key).await.is_ok_and(|entry| entry.is_some()) {
+                    return Ok(());
+                }
+                sleep(PAUSE).await;
+            }
             Err(error) => return Err(error.into()),
         }
     }
--- a/crates/oriolehoist_daemon/src/control/actor.rs
+++ b/crates/oriolehoist_daemon/src/control/actor.rs
@@ -11,7 +11,9 @@
         process::Shared,
     },
     kameo::{Actor, actor::ActorRef},
-    oriolehoist_protocol::{Heard, PeerHello, Resignation, ServerAddress, ServerName, ServiceName},
+    oriolehoist_protocol::{
+        Heard, PeerHello, Resignation, ServerAddress, ServerName, ServiceName, Version,
+    },
     oriolehoist_settings::Service,
     oriolehoist_time::Millis,
     std::{
@@ -21,6 +23,11 @@
     },
 };
 
+/// The longest wait for the peers' word before the first settings come into force.
+const PEERS_WAIT: Millis = Millis(800);
+/// The longest wait for a version that a peer says it has.
+const NEWER_WAIT: Millis = Millis(3000);
+
 /// The actor that holds all control state of a daemon.
 #[derive(Actor)]
 pub(crate) struct Control {
@@ -30,6 +37,7 @@
     pub(super) cells: BTreeMap<ServiceName, Cell>,
     publisher: Publisher,
     pub(super) stopping: bool,
+    started: Millis,
 }
 
 impl Control {
@@ -37,12 +45,13 @@
         let mut peers = Peers::default();
         peers.learn(cx.clock.now(), cx.me.address, seeds.iter().copied());
         Control {
-            cx,
             settings: SettingsInForce::default(),
             peers,
             cells: BTreeMap::new(),
             publisher: Publisher::default(),
             stopping: false,
+            started: cx.clock.now(),
+            cx,
         }
     }
 
@@ -59,6 +68,22 @@
         }
     }
 
+    /// Puts the first settings in force once every peer was asked, or could have answered.
+    pub(super) fn consider_first_settings(&mut self) {
+        if self.settings.version() != Version(0) {
+            return;
+        }
+        let now = self.now();
+        let newest = self.peers.newest_settings(now);
+        let waited = now.since(self.started);
+        let asked = self.peers.all_asked() || waited >= PEERS_WAIT;
+        let newer_missing = newest > self.settings.first_proposed() && waited < NEWER_WAIT;
+        if asked && !newer_missing && self.settings.accept_first() {
+            self.adjust_cells();
+            self.publish();
+        }
+    }
+
     /// Makes a cell for each service that is split by key, and drops the others.
     pub(super) fn adjust_cells(&mut self) {
         let Some(settings) = self.settings.settings().cloned() else { return };
@@ -155,6 +180,7 @@
             Some((cell.service.clone(), address))
         };
         PeerPlan {
+            has_settings: self.settings.version() != Version(0),
             greet: self.peers.addresses().collect(),
             settings_from: self.peers.newer_settings(now, self.settings.version()),
             assignments_from: self.cells.values().filter(unheard).filter_map(source).collect(),
--- a/crates/oriolehoist_daemon/src/control/handlers.rs
+++ b/crates/oriolehoist_daemon/src/control/handlers.rs
@@ -13,7 +13,7 @@
     kameo::message::{Context, Message},
     oriolehoist_ownership::Event,
     oriolehoist_protocol::{
-        AcceptAnswer, Assignment, HeartbeatAnswer, HolderAnswer, PeerHello, ServiceName,
+        AcceptAnswer, Assignment, HeartbeatAnswer, HolderAnswer, PeerHello, ServiceName, Version,
     },
     oriolehoist_settings::SettingsVersion,
     std::sync::Arc,
@@ -32,6 +32,7 @@
                 false => self.consider_take_over(name, &me),
             }
         }
+        self.consider_first_settings();
         let now = self.now();
         self.peers.forget_old(now);
     }
@@ -199,7 +200,10 @@
         SettingsArrived(version): SettingsArrived,
         _: &mut Context<Self, ()>,
     ) {
-        if self.settings.offer(version) {
+        if self.settings.version() == Version(0) {
+            self.settings.propose_first(version);
+            self.consider_first_settings();
+        } else if self.settings.offer(version) {
             self.adjust_cells();
             self.publish();
         }
--- a/crates/oriolehoist_daemon/src/control/message.rs
+++ b/crates/oriolehoist_daemon/src/control/message.rs
@@ -60,6 +60,7 @@
 /// Whom to greet, and what to fetch from whom.
 #[derive(Debug, Default)]
 pub(crate) struct PeerPlan {
+    pub(crate) has_settings: bool,
     pub(crate) greet: Vec<SocketAddr>,
     pub(crate) settings_from: Option<SocketAddr>,
     pub(crate) assignments_from: Vec<(ServiceName, SocketAddr)>,
--- a/crates/oriolehoist_daemon/src/control/peers.rs
+++ b/crates/oriolehoist_daemon/src/control/peers.rs
@@ -20,6 +20,7 @@
 pub(crate) struct Peers {
     known: BTreeMap<SocketAddr, Peer>,
     leaving_servers: BTreeSet<ServerName>,
+    listed: bool,
 }
 
 #[derive(Debug)]
@@ -51,6 +52,7 @@
     pub(crate) fn on_list(&mut self, now: Millis, me: SocketAddr, list: &[Instance]) {
         let entries = list.iter().filter(|i| i.role == InstanceRole::Entry);
         self.learn(now, me, entries.map(|i| i.address));
+        self.listed = true;
         self.leaving_servers = list
             .iter()
             .filter(|i| i.role == InstanceRole::Server && i.state == InstanceState::Leaving)
@@ -109,9 +111,20 @@
         Rank(u32::try_from(before).unwrap_or(u32::MAX))
     }
 
-    /// Returns a live peer whose settings are newer than `version`.
+    /// Returns the live peer with the newest settings, if they are newer than `version`.
     pub(crate) fn newer_settings(&self, now: Millis, version: Version) -> Option<SocketAddr> {
-        self.live(now).find(|h| h.settings > version).map(|h| h.witness.address)
+        let newest = self.live(now).max_by_key(|hello| hello.settings)?;
+        (newest.settings > version).then_some(newest.witness.address)
+    }
+
+    /// Returns the newest version of the settings that a live peer has.
+    pub(crate) fn newest_settings(&self, now: Millis) -> Version {
+        self.live(now).map(|hello| hello.settings).max().unwrap_or_default()
+    }
+
+    /// Returns whether the list was read and every daemon on it has answered.
+    pub(crate) fn all_asked(&self) -> bool {
+        self.listed && self.known.values().all(|peer| peer.seen.is_some())
     }
 
     /// Returns the live peer that routes by the newest assignment of a service.
--- a/crates/oriolehoist_daemon/src/control/tasks.rs
+++ b/crates/oriolehoist_daemon/src/control/tasks.rs
@@ -24,6 +24,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between questions to each peer.
 const HELLO_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between questions to each peer before there are settings.
+const FIRST_HELLO_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between readings of the instance list.
 const LIST_INTERVAL: Duration = Duration::from_millis(1000);
 /// The longest wait of a watch.
@@ -108,7 +110,11 @@
         for (service, address) in plan.assignments_from {
             tokio::spawn(fetch_assignment(Arc::clone(&cx), control.clone(), service, address));
         }
-        sleep(HELLO_INTERVAL).await;
+        let pause = match plan.has_settings {
+            true => HELLO_INTERVAL,
+            false => FIRST_HELLO_INTERVAL,
+        };
+        sleep(pause).await;
     }
 }
 
--- a/crates/oriolehoist_daemon/src/listener/peers.rs
+++ b/crates/oriolehoist_daemon/src/listener/peers.rs
@@ -16,7 +16,7 @@
         routing::post,
     },
     kameo::{actor::ActorRef, message::Message},
-    oriolehoist_admission::Fingerprint,
+    oriolehoist_admission::{Crash, Fingerprint},
     oriolehoist_protocol::{
         AcceptTerm, Heartbeat, HolderQuestion, PeerHello, Resignation, ServiceName, SuspectNotice,
     },
@@ -100,7 +100,8 @@
             let now = state.cx.clock.now();
             let mut suspects =
                 state.cx.suspects.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-            suspects.note(now, Fingerprint(notice.fingerprint), notice.crashes);
+            let crash = Crash(notice.crashed.0);
+            suspects.on_crash(now, Fingerprint(notice.fingerprint), crash);
             answer(&())
         }
         Err(malformed) => malformed.into_response(),
--- a/crates/oriolehoist_daemon/src/request/suspicion.rs
+++ b/crates/oriolehoist_daemon/src/request/suspicion.rs
@@ -2,23 +2,29 @@
 
 use {
     crate::{
-        connection::Backend,
+        connection::{Backend, Pool},
         process::{Event, Shared, report},
         request::{parse::Parsed, refuse::Refusal},
     },
-    oriolehoist_admission::{Fingerprint, Judgement},
-    oriolehoist_protocol::{INCARNATION, SuspectNotice},
+    oriolehoist_admission::{Crash, Fingerprint, Judgement},
+    oriolehoist_protocol::{INCARNATION, Incarnation, SuspectNotice},
     oriolehoist_refusal::Kind,
     oriolehoist_time::Millis,
+    reqwest::Response,
     std::{
         hash::{DefaultHasher, Hash, Hasher},
-        sync::Arc,
+        sync::{Arc, PoisonError},
         time::Duration,
     },
+    tokio::time::sleep,
 };
 
 /// The longest wait for a sign of life from a server that broke a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How often a server is asked for a sign of life.
+const PROBES: u32 = 4;
+/// Time between the questions.
+const PROBE_PAUSE: Duration = Duration::from_millis(20);
 /// The longest wait for a peer to take a notice.
 const NOTICE_TIMEOUT: Millis = Millis(300);
 
@@ -37,7 +43,7 @@
 ///
 /// Returns the refusal of a request in quarantine.
 pub(crate) fn judge(cx: &Shared, fingerprint: Fingerprint) -> Result<Judgement, Refusal> {
-    let suspects = cx.suspects.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let suspects = cx.suspects.lock().unwrap_or_else(PoisonError::into_inner);
     match suspects.judge(cx.clock.now(), fingerprint) {
         Judgement::Quarantined(left) => {
             let refusal = Refusal::new(Kind::Quarantined, "two servers crashed on this request");
@@ -49,7 +55,7 @@
 
 /// Clears a request that was answered.
 pub(crate) fn clear(cx: &Shared, fingerprint: Fingerprint) {
-    let mut suspects = cx.suspects.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut suspects = cx.suspects.lock().unwrap_or_else(PoisonError::into_inner);
     if !suspects.is_empty() {
         suspects.on_answered(fingerprint);
     }
@@ -58,34 +64,38 @@
 /// Finds out whether a server that broke a connection has crashed, and if so suspects the
 /// request here and at every other daemon.
 pub(crate) async fn on_broken(cx: &Arc<Shared>, backend: &Backend, fingerprint: Fingerprint) {
-    if !has_crashed(backend).await {
+    let crashed = backend.incarnation();
+    if !has_crashed(cx, backend, crashed).await {
         return;
     }
-    let now = cx.clock.now();
-    let crashes = {
-        let mut suspects = cx.suspects.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        suspects.on_crash(now, &[fingerprint])
-    };
     report(Event::ServerCrashed, format_args!("{}", backend.name));
-    for (fingerprint, crashes) in crashes {
-        tell_peers(cx, SuspectNotice { fingerprint: fingerprint.0, crashes }).await;
-    }
+    let now = cx.clock.now();
+    cx.suspects.lock().unwrap_or_else(PoisonError::into_inner).on_crash(
+        now,
+        fingerprint,
+        Crash(crashed.0),
+    );
+    tell_peers(cx, SuspectNotice { fingerprint: fingerprint.0, crashed }).await;
 }
 
-/// Asks the server on a new connection: a crashed one does not answer, or has a new incarnation.
-async fn has_crashed(backend: &Backend) -> bool {
-    let before = backend.incarnation();
-    let probe = reqwest::Client::builder().no_proxy().timeout(PROBE_TIMEOUT).build();
-    let Ok(client) = probe else { return false };
-    let url = format!("http://{}/oriolehoist/health", backend.address);
-    match client.get(url).send().await {
-        Ok(answer) => answer
-            .headers()
-            .get(INCARNATION)
-            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
-            .is_some_and(|now| before.0 != 0 && now != before.0),
-        Err(_) => true,
+/// Asks the server on new connections: a crashed one refuses them, or has a new incarnation.
+///
+/// A connection that breaks or goes silent proves nothing, since the network may be at fault.
+async fn has_crashed(cx: &Shared, backend: &Backend, before: Incarnation) -> bool {
+    for _ in 0..PROBES {
+        let client = Pool::new(cx.source, 0).client().client;
+        let url = format!("http://{}/oriolehoist/health", backend.address);
+        match client.get(url).timeout(PROBE_TIMEOUT).send().await {
+            Ok(answer) => return incarnation_of(&answer).is_some_and(|now| now != before),
+            Err(error) if error.is_connect() && !error.is_timeout() => return true,
+            Err(_) => sleep(PROBE_PAUSE).await,
+        }
     }
+    false
+}
+
+fn incarnation_of(answer: &Response) -> Option<Incarnation> {
+    answer.headers().get(INCARNATION)?.to_str().ok()?.parse().ok().map(Incarnation)
 }
 
 /// Tells every daemon, and waits until each has heard or can't be reached: the caller may send
--- a/crates/oriolehoist_ownership/src/assigner/mod.rs
+++ b/crates/oriolehoist_ownership/src/assigner/mod.rs
@@ -41,7 +41,7 @@
 ///
 /// Drive it with [`Assigner::step`]; it answers with the messages to send. Sending late, twice or
 /// never is safe: a renewal counts from a time that the server gave, not from when it arrives.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Assigner {
     timing: Timing,
     budget: MoveBudget,
@@ -56,6 +56,9 @@
     stepped_down: bool,
     moved: u64,
     balanced: Millis,
+    started: Millis,
+    /// Since when shards are free while most servers are out of reach.
+    scarce_since: Option<Millis>,
 }
 
 impl Assigner {
@@ -94,6 +97,8 @@
             stepped_down: false,
             moved: 0,
             balanced: now,
+            started: now,
+            scarce_since: None,
         }
     }
 
@@ -380,7 +385,10 @@
     /// Frees the shards that no server claims, once no server can hold them under an earlier term.
     fn release_unclaimed(&mut self, now: Millis) {
         let all_fenced = self.servers.iter().all(ServerEntry::is_fenced);
-        if !all_fenced && !self.predecessors.are_over(now) {
+        // Servers that live have answered by then, so that the first to answer doesn't get all.
+        let waited = now.since(self.started) >= self.timing.lost_after;
+        let over = waited && self.predecessors.are_over(now);
+        if !all_fenced && !over {
             return;
         }
         for shard in &mut self.shards {
@@ -433,6 +441,9 @@
         if !self.shards.iter().any(ShardEntry::is_free) {
             return;
         }
+        if self.is_scarce(now) {
+            return;
+        }
         let mut loads = ServerLoads::of(&self.placement_input(now));
         for shard in self.shards.iter_mut().filter(|s| s.is_free()) {
             let Some(server) = choose_owner(&mut loads, shard.weight(), shard.preferred()) else {
@@ -447,6 +458,20 @@
         }
     }
 
+    /// Returns whether most servers are out of reach, which rather is a fault of the network.
+    ///
+    /// Granting would then pile every shard on the few that answer first, so it waits a while for
+    /// the others.
+    fn is_scarce(&mut self, now: Millis) -> bool {
+        let reachable = |entry: &&ServerEntry| entry.is_reachable(now, &self.timing);
+        let scarce = self.servers.iter().filter(reachable).count() * 2 < self.servers.len();
+        self.scarce_since = match scarce {
+            true => self.scarce_since.or(Some(now)),
+            false => None,
+        };
+        self.scarce_since.is_some_and(|since| now.since(since) < self.timing.lost_after)
+    }
+
     /// Starts moves: at once off leaving servers, and at intervals for balance.
     fn plan_moves(&mut self, now: Millis) {
         let leaving = self.servers.iter().any(ServerEntry::is_leaving);
--- a/crates/oriolehoist_ownership/src/assigner/predecessor.rs
+++ b/crates/oriolehoist_ownership/src/assigner/predecessor.rs
@@ -11,7 +11,7 @@
 /// An earlier holder renews only while a majority of its witnesses vouches. Once a majority of
 /// every earlier set has accepted the new term, no voucher is given any more; after the longest
 /// one has run out, and one grant's length more, every earlier grant has lapsed.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Predecessors {
     timing: Timing,
     service: ServiceName,
@@ -19,13 +19,13 @@
     asked: Option<Millis>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct WitnessSet {
     majority: usize,
     members: Vec<Member>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Member {
     witness: Witness,
     vouchers_end: Option<Millis>,
--- a/crates/oriolehoist_ownership/src/assigner/server.rs
+++ b/crates/oriolehoist_ownership/src/assigner/server.rs
@@ -27,7 +27,7 @@
 }
 
 /// What an assigner keeps for one backend server.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ServerEntry {
     name: ServerName,
     address: SocketAddr,
--- a/crates/oriolehoist_ownership/src/assigner/shard.rs
+++ b/crates/oriolehoist_ownership/src/assigner/shard.rs
@@ -21,7 +21,7 @@
 }
 
 /// What an assigner keeps for one shard.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ShardEntry {
     phase: Phase,
     last_owner: Option<ServerIndex>,
--- a/crates/oriolehoist_ownership/src/assigner/vouching.rs
+++ b/crates/oriolehoist_ownership/src/assigner/vouching.rs
@@ -5,14 +5,14 @@
 };
 
 /// The vouchers that an assigner holds from the witnesses of its record.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Vouching {
     timing: Timing,
     majority: usize,
     vouchers: Vec<Voucher>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Voucher {
     witness: Witness,
     asked: Option<Millis>,
--- a/crates/oriolehoist_protocol/src/peer.rs
+++ b/crates/oriolehoist_protocol/src/peer.rs
@@ -115,6 +115,6 @@
 pub struct SuspectNotice {
     /// The request's fingerprint.
     pub fingerprint: u64,
-    /// How many crashes it was present at.
-    pub crashes: u32,
+    /// The incarnation of the server that crashed.
+    pub crashed: Incarnation,
 }
--- a/crates/oriolehoist_testkit/src/cluster/cluster.rs
+++ b/crates/oriolehoist_testkit/src/cluster/cluster.rs
@@ -11,7 +11,7 @@
     oriolehoist_settings::{HEAD_KEY, SettingsVersion},
     oriolehoist_time::{Clock, Millis},
     serde_json::Value as Json,
-    std::{fs, net::IpAddr, path::PathBuf, time::Duration},
+    std::{fs, net::IpAddr, path::PathBuf, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -51,7 +51,7 @@
     /// Its place.
     pub target: SiteTarget,
     /// The stand-in.
-    pub server: BackendServer,
+    pub server: Arc<BackendServer>,
 }
 
 impl ServerHandle {
@@ -88,6 +88,8 @@
 const READY_WAIT: Duration = Duration::from_secs(20);
 /// Time between looks at whether it is.
 const READY_STEP: Duration = Duration::from_millis(50);
+/// Time between looks at whether a server has crashed.
+const CRASH_LOOK: Duration = Duration::from_millis(2);
 /// The key that signs receipts in tests.
 const RECEIPT_KEY: &str = "a key for tests, not for use";
 
@@ -170,7 +172,7 @@
                 };
                 let real = options.address;
                 let server = BackendServer::new(options, self.clock, self.journal.clone());
-                let handle = ServerHandle { target, server };
+                let handle = ServerHandle { target, server: Arc::new(server) };
                 self.network.add_edge(&handle.edge(), handle.target.address, real).await?;
                 self.servers.push(handle);
             }
@@ -407,6 +409,26 @@
         (self.addresses.ip(6), self.addresses.store_edge())
     }
 
+    /// Makes the edge of a server refuse connections as soon as the server has crashed by itself.
+    pub fn follow_crashes(&self) {
+        for handle in &self.servers {
+            let (network, edge) = (self.network.clone(), handle.edge());
+            let server = Arc::downgrade(&handle.server);
+            tokio::spawn(async move {
+                let mut was_alive = true;
+                while let Some(server) = server.upgrade() {
+                    let alive = server.is_alive();
+                    drop(server);
+                    if was_alive && !alive {
+                        let _ = network.set_listening(&edge, false).await;
+                    }
+                    was_alive = alive;
+                    sleep(CRASH_LOOK).await;
+                }
+            });
+        }
+    }
+
     /// Returns how many servers run.
     pub fn alive_servers(&self) -> usize {
         self.servers.iter().filter(|handle| handle.server.is_alive()).count()
--- a/crates/oriolehoist_testkit/src/fault/network.rs
+++ b/crates/oriolehoist_testkit/src/fault/network.rs
@@ -23,6 +23,8 @@
     SwallowAnswers,
     /// Requests pass; a connection is closed when its answer comes.
     LoseAnswers,
+    /// As before, but only the answers to a compare-and-swap.
+    LoseWriteAnswers,
     /// A connection is closed after so many bytes of answers.
     CutAnswersAfter(u64),
     /// Everything comes later by so much.
--- a/crates/oriolehoist_testkit/src/fault/pump.rs
+++ b/crates/oriolehoist_testkit/src/fault/pump.rs
@@ -3,7 +3,10 @@
     oriolehoist_time::Millis,
     std::{
         net::{IpAddr, SocketAddr},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -13,6 +16,8 @@
     },
 };
 
+/// How a compare-and-swap begins.
+const WRITE_REQUEST: &[u8] = b"POST /v1/cas ";
 /// How many bytes are read at once.
 const CHUNK: usize = 16 << 10;
 
@@ -43,7 +48,7 @@
     let _ = server.set_nodelay(true);
     let (client_rx, client_tx) = client.into_split();
     let (server_rx, server_tx) = server.into_split();
-    let cx = Edge { shared, from, to, opened };
+    let cx = Edge { shared, from, to, opened, writing: AtomicBool::new(false) };
     tokio::select! {
         () = pump(&cx, Direction::Requests, client_rx, server_tx) => {}
         () = pump(&cx, Direction::Answers, server_rx, client_tx) => {}
@@ -55,9 +60,22 @@
     from: IpAddr,
     to: Arc<str>,
     opened: Millis,
+    /// Whether the last request was a compare-and-swap.
+    writing: AtomicBool,
 }
 
 impl Edge {
+    fn is_writing(&self) -> bool {
+        self.writing.load(Ordering::Relaxed)
+    }
+
+    fn note_request(&self, bytes: &[u8]) {
+        let line = bytes.split(|&byte| byte == b'\r').next().unwrap_or_default();
+        if line.ends_with(b" HTTP/1.1") {
+            self.writing.store(line.starts_with(WRITE_REQUEST), Ordering::Relaxed);
+        }
+    }
+
     fn judge(&self, direction: Direction, passed: u64, length: usize) -> Verdict {
         let answers = direction == Direction::Answers;
         let mut delay = Millis::ZERO;
@@ -67,6 +85,7 @@
                 Fault::SwallowRequests if !answers => return Verdict::Swallow,
                 Fault::SwallowAnswers if answers => return Verdict::Swallow,
                 Fault::LoseAnswers if answers => return Verdict::Close,
+                Fault::LoseWriteAnswers if answers && self.is_writing() => return Verdict::Close,
                 Fault::CutAnswersAfter(most) if answers && passed >= most => {
                     return Verdict::Close;
                 }
@@ -95,6 +114,9 @@
             Ok(0) | Err(_) => return,
             Ok(length) => length,
         };
+        if direction == Direction::Requests {
+            cx.note_request(&buf[..length]);
+        }
         match cx.judge(direction, passed, length) {
             Verdict::Close => return,
             Verdict::Swallow => {}
--- a/crates/oriolehoist_testkit/src/scenario/parse.rs
+++ b/crates/oriolehoist_testkit/src/scenario/parse.rs
@@ -157,6 +157,7 @@
         "swallow-requests" => FaultKind::SwallowRequests,
         "swallow-answers" => FaultKind::SwallowAnswers,
         "lose-answers" => FaultKind::LoseAnswers,
+        "lose-write-answers" => FaultKind::LoseWriteAnswers,
         "truncate-answers" => FaultKind::TruncateAnswers,
         _ => return Err("a fault".into()),
     })
--- a/crates/oriolehoist_testkit/src/scenario/script.rs
+++ b/crates/oriolehoist_testkit/src/scenario/script.rs
@@ -90,6 +90,8 @@
     SwallowAnswers,
     /// Connections close when an answer comes.
     LoseAnswers,
+    /// Connections close when the answer to a write comes.
+    LoseWriteAnswers,
     /// Connections close within an answer.
     TruncateAnswers,
     /// Everything is late.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -43,18 +43,47 @@
 }
 
 scenarios! {
-    one_owner_killed
-    one_owner_frozen_and_thawed
-    one_owner_assigner_killed
-    one_owner_assigner_frozen_believing
+    again_after_a_restart
+    again_after_zone_of_servers
+    again_at_the_second_site
+    answers_cut_short
+    answers_late
+    answers_on_silent_connections
+    crash_request_is_quarantined
+    leaving_server_drained_by_an_operator
+    leaving_server_on_the_list
+    leaving_server_that_reports_it
+    not_run_when_nothing_listens
+    not_run_when_overloaded
+    not_run_when_owner_is_lost
+    once_when_a_daemon_dies_between
+    once_when_answers_are_lost
+    once_when_server_dies_while_running
     one_owner_assigner_and_owner_killed
-    one_owner_twice_in_a_row
+    one_owner_assigner_beside_old_owner
     one_owner_assigner_cut_from_store
+    one_owner_assigner_frozen_believing
     one_owner_assigner_isolated
-    one_owner_assigner_beside_old_owner
-    one_owner_one_way_cuts
+    one_owner_assigner_killed
+    one_owner_frozen_and_thawed
+    one_owner_killed
     one_owner_lost_reply_on_takeover
+    one_owner_one_way_cuts
     one_owner_store_away
+    one_owner_twice_in_a_row
+    planned_stop_of_a_daemon
+    planned_stop_of_all_daemons_in_turn
+    reports_that_mislead
+    settings_daemon_paused_across_versions
+    settings_lost_replies
+    settings_racing_operators
+    settings_stale_store
+    settings_store_away
+    store_calls_are_few
+    survives_all_daemons_at_once
+    survives_any_daemon
+    survives_daemons_one_after_another
+    survives_zone_of_daemons
 }
 
 #[gtest]
