--- a/crates/oriolehoist_ownership/tests/world/mod.rs
+++ b/crates/oriolehoist_ownership/tests/world/mod.rs
@@ -48,6 +48,7 @@
     }
 }
 
+#[derive(Clone)]
 struct Server {
     drift: Drift,
     table: GrantTable,
@@ -57,6 +58,7 @@
     waiting: Vec<Message>,
 }
 
+#[derive(Clone)]
 struct Daemon {
     drift: Drift,
     follower: Follower,
@@ -142,6 +144,7 @@
     }
 }
 
+#[derive(Clone)]
 pub struct World {
     time: u64,
     servers: Vec<Server>,
@@ -320,6 +323,32 @@
         }
     }
 
+    /// How many coarse steps there are.
+    pub const COARSE_STEPS: usize = 11;
+
+    /// Carries out one of the coarse steps of the exhaustive exploration.
+    pub fn coarse_step(&mut self, step: usize) {
+        match step {
+            0 => self.run_in_order(1),
+            1 => self.time += 350,
+            2 => self.time += 950,
+            3 => self.isolate(0),
+            4 => self.cuts.clear(),
+            5 => self.take_over(1, true),
+            6 => self.daemons[0].frozen = !self.daemons[0].frozen,
+            7 => self.servers[0].frozen = !self.servers[0].frozen,
+            8 => self.restart_server(0),
+            9 => self.cut(0),
+            _ => self.restart_daemon(1),
+        }
+    }
+
+    /// Returns whether every shard is owned now.
+    pub fn is_served(&self) -> bool {
+        let owned = |shard| (0..SERVERS).any(|s| self.owns(s, shard));
+        (0..SHARDS).map(ShardId).all(owned)
+    }
+
     fn tick(&mut self, d: usize) {
         if self.daemons[d].frozen {
             return;
@@ -658,8 +687,7 @@
         if self.bag.len() > MAX_ROUND_MESSAGES {
             return false;
         }
-        let owned = |shard| (0..SERVERS).any(|s| self.owns(s, shard));
-        (0..SHARDS).map(ShardId).all(owned)
+        self.is_served()
     }
 }
 
