--- a/crates/oriolehoist_admission/src/gate.rs
+++ b/crates/oriolehoist_admission/src/gate.rs
@@ -88,7 +88,7 @@
             return Entry::Admitted;
         }
         let wait = self.expected_wait(&waiting);
-        let room = self.limits.queue * waiting.class.queue_percent() / 100;
+        let room = (self.limits.queue * waiting.class.queue_percent()).div_ceil(100);
         match () {
             () if now + wait + self.service() >= waiting.deadline => {
                 Entry::Refused(GateRefusal::DeadlineTooShort(wait))
--- /dev/null
+++ b/crates/oriolehoist_protocol/tests/messages.rs
@@ -0,0 +1,89 @@
+//! Messages: routes learnt by deltas, and bytes that are no message.
+
+use {
+    googletest::prelude::*,
+    oriolehoist_protocol::{
+        AcceptTerm, Assignment, AssignmentDelta, Epoch, Heartbeat, HeartbeatAnswer, Order,
+        PeerHello, RouteState, ServerAnswer, ServerName, ServiceName, ShardChange, ShardId,
+        ShardRoute, Term, Version,
+    },
+    proptest::{
+        collection::vec,
+        prelude::*,
+        test_runner::{Config, RngSeed, TestRunner},
+    },
+};
+
+fn change(shard: u32, server: &str) -> ShardChange {
+    let route = ShardRoute {
+        server: ServerName::from(server),
+        epoch: Epoch::first(Term(1)),
+        state: RouteState::Serving,
+        after_loss: false,
+    };
+    ShardChange { shard: ShardId(shard), route }
+}
+
+fn delta(base: Option<u64>, version: u64, changes: Vec<ShardChange>) -> AssignmentDelta {
+    AssignmentDelta { base: base.map(Version), version: Version(version), shard_count: 4, changes }
+}
+
+#[gtest]
+fn deltas_apply_in_order_and_never_go_back() {
+    let mut assignment = Assignment::empty(ServiceName::from("tides"), 4);
+    let whole = delta(None, 1, vec![change(0, "a"), change(1, "b")]);
+    expect_that!(assignment.apply(Term(1), &whole), eq(true));
+    expect_that!(assignment.apply(Term(1), &delta(Some(2), 3, vec![change(0, "c")])), eq(false));
+    expect_that!(assignment.apply(Term(1), &delta(Some(1), 2, vec![change(0, "c")])), eq(true));
+    expect_that!(assignment.apply(Term(1), &whole), eq(false));
+    expect_that!(assignment.apply(Term(2), &delta(Some(2), 5, vec![change(0, "d")])), eq(false));
+    let owner = assignment.route(ShardId(0)).map(|route| route.server.as_str());
+    expect_that!(owner, some(eq("c")));
+    expect_that!(assignment.route(ShardId(9)), none());
+}
+
+#[gtest]
+fn keys_spread_evenly_over_shards() {
+    let mut counts = [0; 16];
+    for key in 0..16_000 {
+        counts[ShardId::of_key(&format!("key-{key}"), 16).index()] += 1;
+    }
+    expect_that!(counts, each(all![gt(800), lt(1200)]));
+}
+
+#[gtest]
+fn epochs_read_back_as_they_are_written() {
+    let epoch = Epoch { term: Term(3), sequence: 17 };
+    expect_that!(Epoch::parse(&epoch.to_string()), some(eq(epoch)));
+    expect_that!(["", "3", "3.x", ".", "-1.2"].map(Epoch::parse), each(none()));
+}
+
+#[gtest]
+fn bytes_that_are_no_message_are_an_error_and_nothing_worse() {
+    let mut runner = TestRunner::new(Config {
+        cases: 3000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::default()
+    });
+    let result = runner.run(&vec(any::<u8>(), 0..300), |bytes| {
+        let _ = rmp_serde::from_slice::<Heartbeat>(&bytes);
+        let _ = rmp_serde::from_slice::<HeartbeatAnswer>(&bytes);
+        let _ = rmp_serde::from_slice::<AcceptTerm>(&bytes);
+        let _ = rmp_serde::from_slice::<PeerHello>(&bytes);
+        let _ = rmp_serde::from_slice::<Order>(&bytes);
+        let _ = rmp_serde::from_slice::<ServerAnswer>(&bytes);
+        Ok(())
+    });
+    expect_that!(result, ok(anything()));
+    let order = Order {
+        service: ServiceName::from("tides"),
+        term: Term(1),
+        body: oriolehoist_protocol::OrderBody::Probe,
+    };
+    let whole = rmp_serde::to_vec_named(&order).unwrap_or_default();
+    for length in 0..whole.len() {
+        expect_that!(rmp_serde::from_slice::<Order>(&whole[..length]).is_err(), eq(true));
+    }
+    expect_that!(rmp_serde::from_slice::<Order>(&whole), ok(eq(&order)));
+}
--- a/crates/oriolehoist_testkit/src/cluster/daemon.rs
+++ b/crates/oriolehoist_testkit/src/cluster/daemon.rs
@@ -56,6 +56,14 @@
         !matches!(self.life, DaemonLife::None)
     }
 
+    /// Returns its process, if it runs as one.
+    pub fn pid(&self) -> Option<u32> {
+        match &self.life {
+            DaemonLife::Process(child) => Some(child.id()),
+            _ => None,
+        }
+    }
+
     /// Starts it.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/demo/mod.rs
@@ -0,0 +1,118 @@
+//! A whole site in one process, for people to try.
+
+mod report;
+
+use {
+    crate::{
+        caller::{Balancer, LoadMix, Records, run_load},
+        cluster::{Cluster, ClusterOptions, DaemonMode},
+        demo::report::report,
+        site::Site,
+    },
+    oriolehoist_time::Millis,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{interval, sleep},
+};
+
+/// How many daemons a site of the users' has.
+const DAEMONS: usize = 8;
+
+/// What a demonstration does.
+#[derive(Clone, Debug)]
+pub struct Demo {
+    /// The site.
+    pub site: Site,
+    /// The load that drives it.
+    pub loads: Vec<LoadMix>,
+    /// How long to drive it; without, it only runs until it is interrupted.
+    pub seconds: Option<u64>,
+    /// Whether an owner is killed halfway through.
+    pub kill_owner: bool,
+}
+
+/// Runs a demonstration. Returns whether every promise was kept.
+///
+/// # Errors
+///
+/// Returns an error if the site can't be started.
+pub async fn run(demo: Demo) -> eyre::Result<bool> {
+    println!("Starting {} with {DAEMONS} daemons ...", demo.site.name);
+    let options = ClusterOptions::new(demo.site.clone(), DAEMONS, DaemonMode::Embedded);
+    let cluster = Cluster::start(options).await?;
+    introduce(&cluster);
+    let kept = match demo.seconds {
+        Some(seconds) => drive(&cluster, &demo, seconds).await?,
+        None => {
+            println!("\nRunning. Stop with Ctrl-C; `-- --seconds 10` drives a load instead.");
+            tokio::signal::ctrl_c().await?;
+            true
+        }
+    };
+    cluster.clean_up();
+    Ok(kept)
+}
+
+fn introduce(cluster: &Cluster) {
+    println!("\n{:<10} {:<14} {:<22} operators", "daemon", "zone", "callers");
+    for daemon in &cluster.daemons {
+        println!(
+            "{:<10} {:<14} {:<22} {}",
+            daemon.name, daemon.zone, daemon.callers, daemon.operators
+        );
+    }
+    let (_, store) = cluster.operator_end();
+    let (callers, operators) = (cluster.daemons[0].callers, cluster.daemons[0].operators);
+    let keyed = cluster.site.keyed().name;
+    let key = cluster.folder().join("receipt.key");
+    println!("\nTry, in another terminal:");
+    println!("  curl -i -H 'oriolehoist-key: bar-42' http://{callers}/{keyed}/window");
+    println!(
+        "  curl -i -X POST -H 'oriolehoist-key: bar-42' -H 'oriolehoist-request-id: b1' \
+         -d slot=7 http://{callers}/{keyed}/book"
+    );
+    println!("  curl -i http://{callers}/{keyed}/window    # refused: it has no key");
+    println!("\nThen, as an operator:");
+    println!("  cargo run --release --bin oriolectl -- status --daemon {operators}");
+    println!("  cargo run --release --bin oriolectl -- show {keyed} --store {store}");
+    println!("  cargo run --release --bin oriolectl -- drain {keyed} {keyed}-1 --store {store}");
+    println!("  cargo run --release --bin oriolectl -- why RECEIPT --key k1={}", key.display());
+}
+
+async fn drive(cluster: &Cluster, demo: &Demo, seconds: u64) -> eyre::Result<bool> {
+    let balancer = Arc::new(Balancer::start(cluster.daemons.iter().map(|d| d.callers).collect()));
+    let records = Records::default();
+    let started = cluster.clock.now();
+    let length = Millis::from_secs(seconds);
+    println!("\nDriving {} loads for {seconds} s ...", demo.loads.len());
+    let loads: Vec<_> = demo
+        .loads
+        .iter()
+        .map(|mix| {
+            let (balancer, records) = (Arc::clone(&balancer), records.clone());
+            run_load(cluster.clock, balancer, records, mix.clone(), length)
+        })
+        .collect();
+    let progress = tokio::spawn(show_progress(records.clone(), seconds));
+    if demo.kill_owner {
+        sleep(Duration::from(length) / 2).await;
+        let owner = cluster.last_server_of("key-7")?;
+        println!("  killing {}", cluster.servers[owner].target.server);
+        cluster.kill_server(owner).await?;
+    }
+    for load in loads {
+        load.finish().await;
+    }
+    progress.abort();
+    Ok(report(cluster, &records.all(), started))
+}
+
+async fn show_progress(records: Records, seconds: u64) {
+    let mut ticks = interval(Duration::from_secs(1));
+    ticks.tick().await;
+    for second in 1..=seconds {
+        ticks.tick().await;
+        let all = records.all();
+        let served = all.iter().filter(|r| r.is_served()).count();
+        println!("  {second:>3} s: {served} served, {} not", all.len() - served);
+    }
+}
--- a/crates/oriolehoist_testkit/src/lib.rs
+++ b/crates/oriolehoist_testkit/src/lib.rs
@@ -6,10 +6,12 @@
 //! - [`cluster`]: daemons, as processes or embedded, with all of the above around them;
 //! - [`caller`]: load with a record of every request;
 //! - [`oracle`]: what must hold, read from the stand-ins' and the callers' records alone;
+//! - [`demo`]: a site that runs in one process, for people to try;
 //! - [`scenario`]: a small language that scripts all of it.
 
 pub mod caller;
 pub mod cluster;
+pub mod demo;
 pub mod fault;
 pub mod oracle;
 pub mod scenario;
