Leave the record out of heartbeats to peers that hold it

Cause: a heartbeat of 741 bytes went to each daemon ten times a second, 52 KB/s at the assigner with eight daemons; nearly all of it was the term's record, which seldom changes. Ruled out: the assignment, whose changes already went as deltas.

Change: a peer's answer names the record it holds, by its write id; the sender leaves the record out while that is the present one.

--- a/crates/oriolehoist_daemon/src/control/assigning.rs
+++ b/crates/oriolehoist_daemon/src/control/assigning.rs
@@ -4,7 +4,7 @@
     crate::{
         control::{
             actor::Control,
-            cell::{AssignmentStore, Heartbeats},
+            cell::{AssignmentStore, Heartbeats, HeldByPeer},
             election::Attempt,
             message::{AcceptAnswered, FoundRecord, RecordAttempted, StoredAssignment},
             send,
@@ -99,7 +99,6 @@
     fn send_heartbeats(&mut self, name: &ServiceName, me: &ActorRef<Control>) {
         let now = self.now();
         let settings = self.settings.version();
-        let incarnation = self.cx.me.incarnation;
         let Some(cell) = self.cells.get_mut(name) else { return };
         if !cell.heartbeat_due(now) {
             return;
@@ -107,30 +106,31 @@
         let Some(assigner) = cell.assigner.as_ref() else { return };
         cell.heartbeats.sent = now;
         cell.heartbeats.sent_version = assigner.version();
-        let mut by_version: HashMap<Version, Arc<Heartbeat>> = HashMap::new();
-        let mut message = |held: Version| {
+        let mut by_held: HashMap<HeldByPeer, Arc<Heartbeat>> = HashMap::new();
+        let mut message = |held: HeldByPeer| {
+            let record = assigner.record();
             let make = || Heartbeat {
                 service: name.clone(),
-                record: assigner.record().clone(),
-                delta: assigner.delta_since(held),
+                term: record.term,
+                record: (held.record != record.write_id).then(|| record.clone()),
+                delta: assigner.delta_since(held.version),
                 settings,
             };
-            Arc::clone(by_version.entry(held).or_insert_with(|| Arc::new(make())))
+            Arc::clone(by_held.entry(held.clone()).or_insert_with(|| Arc::new(make())))
         };
         for peer in self.peers.live(now) {
             let to = peer.witness.instance.clone();
-            let held = cell.heartbeats.held.get(&to).copied().unwrap_or_default();
+            let held = cell.heartbeats.held.get(&to).cloned().unwrap_or_default();
             let (cx, address) = (Arc::clone(&self.cx), peer.witness.address);
             tokio::spawn(send::heartbeat(cx, me.clone(), address, to, message(held)));
         }
         let own = cell.follower.assignment();
-        let held = match own.term == assigner.record().term {
+        let version = match own.term == assigner.record().term {
             true => own.version,
             false => Version::default(),
         };
-        let own = message(held);
+        let own = message(HeldByPeer { version, ..HeldByPeer::default() });
         let answer = cell.follower.on_heartbeat(now, &own);
-        debug_assert_eq!(answer.incarnation, incarnation);
         let from = self.cx.me.instance.clone();
         let changed = own.delta.is_some();
         self.step(name, Event::Heartbeat { from, sent: now, answer }, me);
--- a/crates/oriolehoist_daemon/src/control/cell.rs
+++ b/crates/oriolehoist_daemon/src/control/cell.rs
@@ -6,6 +6,7 @@
     oriolehoist_protocol::{InstanceName, RouteState, ServiceName, Term, Version},
     oriolehoist_settings::{Placement, TimingValues},
     oriolehoist_time::Millis,
+    smol_str::SmolStr,
     std::collections::HashMap,
 };
 
@@ -42,7 +43,16 @@
 pub(crate) struct Heartbeats {
     pub(crate) sent: Millis,
     pub(crate) sent_version: Version,
-    pub(crate) held: HashMap<InstanceName, Version>,
+    pub(crate) held: HashMap<InstanceName, HeldByPeer>,
+}
+
+/// What a peer has said that it holds of an assigner's news.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct HeldByPeer {
+    /// The version of the assignment under the present term.
+    pub(crate) version: Version,
+    /// The write id of the term's record.
+    pub(crate) record: SmolStr,
 }
 
 impl Cell {
--- a/crates/oriolehoist_daemon/src/control/handlers.rs
+++ b/crates/oriolehoist_daemon/src/control/handlers.rs
@@ -3,6 +3,7 @@
 use {
     crate::control::{
         actor::Control,
+        cell::HeldByPeer,
         message::{
             AcceptAnswered, AskAssignment, AskHello, AskMissing, AskPlan, AskSettings, AskStatus,
             AssignmentArrived, AssignmentStored, DaemonStatus, HeartbeatAnswered, InstancesListed,
@@ -66,7 +67,7 @@
         }
         // An assigner at this daemon learns of a higher term as from any other answer.
         let event = Event::Heartbeat {
-            from: heartbeat.record.holder.instance.clone(),
+            from: self.cx.me.instance.clone(),
             sent: now,
             answer: HeartbeatAnswer { vouched: false, accepted, ..answer.clone() },
         };
@@ -255,7 +256,8 @@
         if cell.assigner_of(term).is_none() {
             return;
         }
-        cell.heartbeats.held.insert(from.clone(), answer.version);
+        let held = HeldByPeer { version: answer.version, record: answer.record.clone() };
+        cell.heartbeats.held.insert(from.clone(), held);
         self.step(&service, Event::Heartbeat { from, sent, answer }, &cx.actor_ref());
     }
 }
--- a/crates/oriolehoist_daemon/src/control/send.rs
+++ b/crates/oriolehoist_daemon/src/control/send.rs
@@ -61,7 +61,7 @@
     let answer = cx.peers.ask(address, "/heartbeat", heartbeat.as_ref(), ANSWER_TIMEOUT).await;
     if let Ok(answer) = answer {
         let service = heartbeat.service.clone();
-        let term = heartbeat.record.term;
+        let term = heartbeat.term;
         let _ = me.tell(HeartbeatAnswered { service, term, from: to, sent, answer }).await;
     }
 }
--- a/crates/oriolehoist_ownership/src/follower.rs
+++ b/crates/oriolehoist_ownership/src/follower.rs
@@ -65,17 +65,20 @@
 
     /// Takes a heartbeat. A heartbeat of a lower term than the accepted one changes nothing.
     pub fn on_heartbeat(&mut self, now: Millis, heartbeat: &Heartbeat) -> HeartbeatAnswer {
-        let term = heartbeat.record.term;
+        let term = heartbeat.term;
         let current = term >= self.accepted;
         if current {
             self.accept(term);
             self.last_heard = now;
-            self.record = Some(heartbeat.record.clone());
+        }
+        match &heartbeat.record {
+            Some(record) if current && record.term == term => self.record = Some(record.clone()),
+            _ => {}
         }
         if let (true, Some(delta)) = (current, &heartbeat.delta) {
             self.assignment.apply(term, delta);
         }
-        let vouched = current && self.is_witness_of(&heartbeat.record);
+        let vouched = current && self.is_witness_under(term);
         if vouched {
             self.voucher = now + self.timing.voucher;
         }
@@ -84,6 +87,7 @@
             accepted: self.accepted,
             vouched,
             version: self.version_under(term),
+            record: self.record.as_ref().map(|record| record.write_id.clone()).unwrap_or_default(),
             settings: Version::default(),
         }
     }
@@ -145,8 +149,12 @@
         }
     }
 
-    fn is_witness_of(&self, record: &TermRecord) -> bool {
-        record.witnesses.iter().any(|witness| witness.incarnation == self.incarnation)
+    /// Returns whether the record of `term` is held here and names this daemon's present life.
+    fn is_witness_under(&self, term: Term) -> bool {
+        let record = self.record.as_ref().filter(|record| record.term == term);
+        record.is_some_and(|record| {
+            record.witnesses.iter().any(|witness| witness.incarnation == self.incarnation)
+        })
     }
 
     fn version_under(&self, term: Term) -> Version {
--- a/crates/oriolehoist_ownership/tests/directed.rs
+++ b/crates/oriolehoist_ownership/tests/directed.rs
@@ -66,6 +66,7 @@
                 accepted: self.assigner.record().term,
                 vouched: true,
                 version: Version(0),
+                record: Default::default(),
                 settings: Version(1),
             };
             let (from, sent) = (witness.instance, Millis(now));
@@ -233,7 +234,8 @@
     let service = ServiceName::from("tides");
     let beat = Heartbeat {
         service: service.clone(),
-        record: first_record(),
+        term: Term(1),
+        record: Some(first_record()),
         delta: None,
         settings: Version(1),
     };
--- a/crates/oriolehoist_ownership/tests/world/mod.rs
+++ b/crates/oriolehoist_ownership/tests/world/mod.rs
@@ -364,7 +364,8 @@
         let Some(assigner) = &self.daemons[d].assigner else { return };
         let beat = Heartbeat {
             service: service(),
-            record: assigner.record().clone(),
+            term: assigner.record().term,
+            record: Some(assigner.record().clone()),
             delta: assigner.delta_since(Version(0)),
             settings: Version(1),
         };
@@ -617,7 +618,7 @@
         let now = daemon.drift.at(self.time);
         let answer = daemon.follower.on_heartbeat(now, beat);
         let accepted = answer.accepted;
-        let term = beat.record.term;
+        let term = beat.term;
         self.bag.push(Message::Beaten { to: from, from: to, sent, term, answer: answer.clone() });
         let own = HeartbeatAnswer { vouched: false, accepted, ..answer };
         let from = InstanceName::from(format!("d{from}").as_str());
--- a/crates/oriolehoist_protocol/src/peer.rs
+++ b/crates/oriolehoist_protocol/src/peer.rs
@@ -4,6 +4,7 @@
     },
     oriolehoist_time::Millis,
     serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
     std::net::SocketAddr,
 };
 
@@ -14,8 +15,10 @@
 pub struct Heartbeat {
     /// The service.
     pub service: ServiceName,
-    /// The record under which the sender assigns.
-    pub record: TermRecord,
+    /// The term under which the sender assigns.
+    pub term: Term,
+    /// The record of that term, unless the receiver is known to hold it.
+    pub record: Option<TermRecord>,
     /// What the receiver has yet to learn, if anything.
     pub delta: Option<AssignmentDelta>,
     /// The settings version in force at the sender.
@@ -31,8 +34,10 @@
     pub accepted: Term,
     /// Whether it vouches that it has accepted no higher term, as a witness of the record.
     pub vouched: bool,
-    /// The assignment version that it now holds under the record's term, or zero.
+    /// The assignment version that it now holds under the heartbeat's term, or zero.
     pub version: Version,
+    /// The write id of the record that it holds, or nothing.
+    pub record: SmolStr,
     /// The settings version in force there.
     pub settings: Version,
 }
--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -83,7 +83,7 @@
     let mut bytes = 0_u64;
     for now in (1000..1000 + SECONDS * 1000).step_by(20) {
         let now = Millis(now);
-        let beat = beat(&assigner, follower.assignment().version);
+        let beat = beat(&assigner, follower.assignment().version, false);
         let answer = follower.on_heartbeat(now, &beat);
         let start = Instant::now();
         let from = InstanceName::from("a");
@@ -114,10 +114,11 @@
     Event::ServerAnswered { server, sent: now, probed, answer }
 }
 
-fn beat(assigner: &Assigner, held: Version) -> Heartbeat {
+fn beat(assigner: &Assigner, held: Version, knows_record: bool) -> Heartbeat {
     Heartbeat {
         service: service(),
-        record: assigner.record().clone(),
+        term: assigner.record().term,
+        record: (!knows_record).then(|| assigner.record().clone()),
         delta: assigner.delta_since(held),
         settings: Version(1),
     }
@@ -129,8 +130,8 @@
 
 fn messages(shards: u32) {
     let assigner = assigner(shards, 15);
-    let whole = size(&beat(&assigner, Version(0)));
-    let quiet = size(&beat(&assigner, assigner.version()));
+    let whole = size(&beat(&assigner, Version(0), false));
+    let quiet = size(&beat(&assigner, assigner.version(), true));
     let stored = serde_json::to_string(&assigner.assignment()).map_or(0, |text| text.len());
     println!(
         "  {shards:>5} shards: heartbeat {quiet} bytes, with the whole assignment {whole}, \
