Make two scenarios need the mechanism that they prove

Cause: with vouching removed every scenario passed, since the other servers tell an isolated assigner of its successor at once; and an edit committed five times over passed settings_lost_replies.

Change: one_owner_assigner_beside_old_owner cuts the assigner off from all but the owner that only it reaches; the former shape stays as one_owner_out_of_reach. The store's own version is judged. Requests that reach a frozen stand-in wait in it and run when it thaws.

Before: both broken daemons passed. After: 'shard 206: mareas-live-6 until 69617 and mareas-live-14 from 63281' and 'the store holds version 6, not 2'; the daemon as it is passes. Not seen to fail in a scenario: the lapse of a grant after a thaw, since three checks cover it; the random schedules see two of them.

--- a/crates/oriolehoist_testkit/src/cluster/cluster.rs
+++ b/crates/oriolehoist_testkit/src/cluster/cluster.rs
@@ -429,6 +429,13 @@
         }
     }
 
+    /// Returns the version of the settings that the store holds; zero if none.
+    pub fn settings_version(&self) -> Version {
+        let head = self.store.peek(HEAD_KEY);
+        let head = head.and_then(|text| serde_json::from_str::<SettingsVersion>(&text).ok());
+        head.map_or(Version(0), |head| head.version)
+    }
+
     /// Returns how many servers run.
     pub fn alive_servers(&self) -> usize {
         self.servers.iter().filter(|handle| handle.server.is_alive()).count()
--- a/crates/oriolehoist_testkit/src/scenario/judge.rs
+++ b/crates/oriolehoist_testkit/src/scenario/judge.rs
@@ -13,7 +13,7 @@
         },
         standin::{Belief, Run},
     },
-    oriolehoist_protocol::{Epoch, InstanceName, ServerName},
+    oriolehoist_protocol::{Epoch, InstanceName, ServerName, Version},
     oriolehoist_time::Millis,
     std::collections::{BTreeMap, HashMap},
 };
@@ -39,6 +39,7 @@
         availability: availability(records, happened.started, happened.ended),
         moves: moves(&beliefs, happened.started),
         overlaps: overlapping_owners(&beliefs, &runs),
+        head: cluster.settings_version(),
     };
     let mut violations = evidence.standing(script);
     for expectation in &script.expectations {
@@ -62,6 +63,8 @@
     availability: Availability,
     moves: u64,
     overlaps: Vec<Violation>,
+    /// The version of the settings that the store holds.
+    head: Version,
 }
 
 impl Evidence<'_> {
@@ -118,6 +121,10 @@
                 let found = self.happened.applied.len() as u64;
                 told(found != *count, format!("{found} versions were accepted, not {count}"))
             }
+            Expectation::HeadVersion(number) => {
+                let found = self.head.0;
+                told(found != *number, format!("the store holds version {found}, not {number}"))
+            }
             Expectation::CrashesAtMost(most) => told(
                 self.happened.crashes > *most || self.happened.crashes == 0,
                 format!("{} servers crashed", self.happened.crashes),
--- a/crates/oriolehoist_testkit/src/scenario/parse.rs
+++ b/crates/oriolehoist_testkit/src/scenario/parse.rs
@@ -183,11 +183,12 @@
 fn selector(words: &[&str]) -> Parsed<Selector> {
     Ok(match words {
         ["owner", "of", key] => Selector::Owner((*key).into()),
-        ["server", "not", "of", key] => Selector::NotOwner((*key).into()),
+        ["servers", "not", "of", key] => Selector::NotOwners((*key).into()),
         ["server", number] => Selector::Server(whole(number)? as usize),
         ["servers"] => Selector::Servers,
         ["assigner"] => Selector::Assigner,
         ["follower"] => Selector::Follower,
+        ["followers"] => Selector::Followers,
         ["daemon", number] => Selector::Daemon(whole(number)? as usize),
         ["daemons"] => Selector::Daemons,
         ["zone", number] => Selector::Zone(whole(number)? as usize),
@@ -221,6 +222,7 @@
         ["in-force", "within", time] => Expectation::InForceWithin(millis(time)?),
         ["no-version-falls"] => Expectation::NoVersionFalls,
         ["versions", count] => Expectation::Versions(whole(count)?),
+        ["head-version", number] => Expectation::HeadVersion(whole(number)?),
         ["crashes", "at-most", count] => Expectation::CrashesAtMost(whole(count)?),
         ["store-calls", "at-most", count] => Expectation::StoreCalls(whole(count)?),
         ["moves", "at-most", count] => Expectation::MovesAtMost(whole(count)?),
--- a/crates/oriolehoist_testkit/src/scenario/run.rs
+++ b/crates/oriolehoist_testkit/src/scenario/run.rs
@@ -209,9 +209,9 @@
     fn servers(&self, selector: &Selector) -> eyre::Result<Vec<usize>> {
         Ok(match selector {
             Selector::Owner(key) => vec![self.cluster.last_server_of(key)?],
-            Selector::NotOwner(key) => {
+            Selector::NotOwners(key) => {
                 let owner = self.cluster.last_server_of(key)?;
-                vec![usize::from(owner == 0)]
+                (0..self.cluster.servers.len()).filter(|index| *index != owner).collect()
             }
             Selector::Server(number) => vec![number - 1],
             Selector::Servers => (0..self.cluster.servers.len()).collect(),
@@ -228,6 +228,10 @@
                 let assigner = self.cluster.assigner(service).await?;
                 vec![usize::from(assigner == 0)]
             }
+            Selector::Followers => {
+                let assigner = self.cluster.assigner(service).await?;
+                (0..count).filter(|index| *index != assigner).collect()
+            }
             Selector::Daemon(number) => vec![number - 1],
             Selector::Daemons => (0..count).collect(),
             Selector::Zone(number) => {
--- a/crates/oriolehoist_testkit/src/scenario/script.rs
+++ b/crates/oriolehoist_testkit/src/scenario/script.rs
@@ -46,8 +46,8 @@
 pub enum Selector {
     /// The server that owns a key.
     Owner(String),
-    /// The first server that does not own a key.
-    NotOwner(String),
+    /// Every server of the same service that does not own a key.
+    NotOwners(String),
     /// The server with this number, from 1.
     Server(usize),
     /// Every server.
@@ -56,6 +56,8 @@
     Assigner,
     /// The first daemon that does not assign.
     Follower,
+    /// Every daemon that does not assign.
+    Followers,
     /// The daemon with this number, from 1.
     Daemon(usize),
     /// Every daemon.
@@ -165,6 +167,8 @@
     NoVersionFalls,
     /// Exactly so many versions were accepted.
     Versions(u64),
+    /// The store holds exactly this version at the end.
+    HeadVersion(u64),
     /// At most so many servers crashed.
     CrashesAtMost(u64),
     /// At most so many calls a second went to the store.
--- a/crates/oriolehoist_testkit/src/standin/backend.rs
+++ b/crates/oriolehoist_testkit/src/standin/backend.rs
@@ -333,6 +333,17 @@
 }
 
 async fn serve(State(state): State<Arc<Living>>, request: Request<Body>) -> Response {
+    let frozen = *state.frozen.borrow();
+    if !frozen {
+        return run_request(state, request).await;
+    }
+    // What reaches a frozen process waits in its sockets, and is read when it thaws even though
+    // the caller has gone meanwhile.
+    let run = tokio::spawn(run_request(state, request));
+    run.await.unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+}
+
+async fn run_request(state: Arc<Living>, request: Request<Body>) -> Response {
     state.thawed().await;
     let (parts, body) = request.into_parts();
     let Ok(body) = axum::body::to_bytes(body, usize::MAX).await else {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -69,6 +69,7 @@
     one_owner_killed
     one_owner_lost_reply_on_takeover
     one_owner_one_way_cuts
+    one_owner_out_of_reach
     one_owner_store_away
     one_owner_twice_in_a_row
     planned_stop_of_a_daemon
