Kill the servers of a scenario in the same moment

The stand-ins were killed one after another, up to 200 ms each, so that the last died after the load had ended. The daemon was not at fault.

Before: up to 5 s for 25 servers.

--- a/crates/oriolehoist_testkit/src/cluster/cluster.rs
+++ b/crates/oriolehoist_testkit/src/cluster/cluster.rs
@@ -357,15 +357,24 @@
         self.servers.iter().position(of).ok_or_eyre("no such server")
     }
 
-    /// Kills a server and refuses connections to it.
+    /// Kills servers, all in the same moment, and refuses connections to them.
     ///
     /// # Errors
     ///
-    /// Returns an error if its edge can't be changed.
-    pub async fn kill_server(&self, index: usize) -> eyre::Result<()> {
-        let handle = &self.servers[index];
-        handle.server.kill();
-        self.network.set_listening(&handle.edge(), false).await
+    /// Returns an error if an edge can't be changed.
+    pub async fn kill_servers(&self, servers: &[usize]) -> eyre::Result<()> {
+        let kills: Vec<_> = servers
+            .iter()
+            .map(|&index| Arc::clone(&self.servers[index].server))
+            .map(|server| tokio::task::spawn_blocking(move || server.kill()))
+            .collect();
+        for &index in servers {
+            self.network.set_listening(&self.servers[index].edge(), false).await?;
+        }
+        for kill in kills {
+            kill.await?;
+        }
+        Ok(())
     }
 
     /// Starts a server, with a new incarnation.
--- a/crates/oriolehoist_testkit/src/demo/mod.rs
+++ b/crates/oriolehoist_testkit/src/demo/mod.rs
@@ -97,7 +97,7 @@
         sleep(Duration::from(length) / 2).await;
         let owner = cluster.last_server_of("key-7")?;
         println!("  killing {}", cluster.servers[owner].target.server);
-        cluster.kill_server(owner).await?;
+        cluster.kill_servers(&[owner]).await?;
     }
     for load in loads {
         load.finish().await;
--- a/crates/oriolehoist_testkit/src/scenario/run.rs
+++ b/crates/oriolehoist_testkit/src/scenario/run.rs
@@ -243,9 +243,7 @@
     }
 
     async fn kill(&mut self, selector: &Selector) -> eyre::Result<()> {
-        for index in self.servers(selector)? {
-            self.cluster.kill_server(index).await?;
-        }
+        self.cluster.kill_servers(&self.servers(selector)?).await?;
         for index in self.daemons(selector).await? {
             self.cluster.kill_daemon(index).await?;
         }
--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -41,7 +41,7 @@
     let load = run_load(cluster.clock, balancer, records.clone(), mix(), Millis(5000));
     sleep(Duration::from_millis(1500)).await;
     let owner = cluster.last_server_of("key-7")?;
-    cluster.kill_server(owner).await?;
+    cluster.kill_servers(&[owner]).await?;
     load.finish().await;
 
     let (records, runs) = (records.all(), cluster.journal.runs());
