Ask peers who they are with an empty question, twice a second

Cause: eight idle daemons sent 278 KB/s over the loopback and sixteen 1093: each told every other everything it knows, three times a second, in question and answer alike. Ruled out: orders (50 KB/s with heads) and heartbeats (46 bytes).

Change: the question is empty, and comes every 500 ms. Bytes are now counted at the proxies, without the heads of TCP and apart from other traffic.

--- a/crates/oriolehoist_daemon/src/control/tasks.rs
+++ b/crates/oriolehoist_daemon/src/control/tasks.rs
@@ -5,15 +5,14 @@
         control::{
             actor::Control,
             message::{
-                AskHello, AskPlan, AssignmentArrived, InstancesListed, PeerSeen, Reply,
-                SettingsArrived, Tick,
+                AskPlan, AssignmentArrived, InstancesListed, PeerSeen, Reply, SettingsArrived, Tick,
             },
         },
         process::{Event, Shared, report},
     },
     kameo::actor::ActorRef,
     oriolehoist_platform::Revision,
-    oriolehoist_protocol::{Assignment, PeerHello, ServiceName},
+    oriolehoist_protocol::{Assignment, ServiceName},
     oriolehoist_settings::{HEAD_KEY, SettingsVersion},
     oriolehoist_time::Millis,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -23,7 +22,7 @@
 /// Time between ticks of the decisions.
 const TICK: Duration = Duration::from_millis(20);
 /// Time between questions to each peer.
-const HELLO_INTERVAL: Duration = Duration::from_millis(300);
+const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between questions to each peer before there are settings.
 const FIRST_HELLO_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between readings of the instance list.
@@ -100,9 +99,8 @@
 async fn greet_peers(cx: Arc<Shared>, control: ActorRef<Control>) {
     loop {
         let Ok(Reply(plan)) = control.ask(AskPlan).await else { return };
-        let Ok(Reply(hello)) = control.ask(AskHello).await else { return };
         for address in plan.greet {
-            tokio::spawn(greet(Arc::clone(&cx), control.clone(), address, hello.clone()));
+            tokio::spawn(greet(Arc::clone(&cx), control.clone(), address));
         }
         if let Some(address) = plan.settings_from {
             tokio::spawn(fetch_settings(Arc::clone(&cx), control.clone(), address));
@@ -118,8 +116,8 @@
     }
 }
 
-async fn greet(cx: Arc<Shared>, control: ActorRef<Control>, address: SocketAddr, hello: PeerHello) {
-    if let Ok(hello) = cx.peers.ask(address, "/hello", &hello, PEER_TIMEOUT).await {
+async fn greet(cx: Arc<Shared>, control: ActorRef<Control>, address: SocketAddr) {
+    if let Ok(hello) = cx.peers.ask(address, "/hello", &(), PEER_TIMEOUT).await {
         let _ = control.tell(PeerSeen { address, hello }).await;
     }
 }
--- a/crates/oriolehoist_daemon/src/listener/peers.rs
+++ b/crates/oriolehoist_daemon/src/listener/peers.rs
@@ -18,7 +18,7 @@
     kameo::{actor::ActorRef, message::Message},
     oriolehoist_admission::{Crash, Fingerprint},
     oriolehoist_protocol::{
-        AcceptTerm, Heartbeat, HolderQuestion, PeerHello, Resignation, ServiceName, SuspectNotice,
+        AcceptTerm, Heartbeat, HolderQuestion, Resignation, ServiceName, SuspectNotice,
     },
     serde::{Serialize, de::DeserializeOwned},
     std::sync::Arc,
@@ -45,11 +45,8 @@
         .with_state(PeersState { cx, control })
 }
 
-async fn hello(State(state): State<PeersState>, body: Bytes) -> Response {
-    match read::<PeerHello>(&body) {
-        Ok(_) => ask(&state, AskHello).await,
-        Err(malformed) => malformed.into_response(),
-    }
+async fn hello(State(state): State<PeersState>) -> Response {
+    ask(&state, AskHello).await
 }
 
 async fn heartbeat(State(state): State<PeersState>, body: Bytes) -> Response {
--- a/crates/oriolehoist_testkit/src/fault/network.rs
+++ b/crates/oriolehoist_testkit/src/fault/network.rs
@@ -4,7 +4,10 @@
     std::{
         collections::HashMap,
         net::{IpAddr, SocketAddr},
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
     tokio::{net::TcpListener, task::JoinHandle, time::sleep},
@@ -39,6 +42,7 @@
 
 pub(super) struct Shared {
     pub(super) clock: Clock,
+    pub(super) bytes: AtomicU64,
     rules: Mutex<Vec<Rule>>,
     edges: Mutex<HashMap<String, Edge>>,
 }
@@ -60,7 +64,12 @@
 impl Network {
     /// Creates a network without edges.
     pub fn new(clock: Clock) -> Network {
-        let shared = Shared { clock, rules: Mutex::default(), edges: Mutex::default() };
+        let shared = Shared {
+            clock,
+            bytes: AtomicU64::new(0),
+            rules: Mutex::default(),
+            edges: Mutex::default(),
+        };
         Network { shared: Arc::new(shared) }
     }
 
@@ -120,6 +129,11 @@
         lock(&self.shared.rules).retain(|rule| rule.from != from || rule.to != to);
     }
 
+    /// Returns how many bytes have passed over all edges, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(Ordering::Relaxed)
+    }
+
     /// Ends every fault.
     pub fn heal_all(&self) {
         lock(&self.shared.rules).clear();
