Let operators bind keys to servers, and refuse what is not built

Cause: reading the settings against the code, 'bindings' and 'fencing' were accepted and had no effect, and the assigner had an event for load that nothing sent.

Before: intent_keys_bound_to_servers, with bindings ignored, says that key-7 did not run at its server alone. After: it passes, as do placement's seven tests.

--- a/crates/oriolehoist_daemon/src/control/actor.rs
+++ b/crates/oriolehoist_daemon/src/control/actor.rs
@@ -11,10 +11,11 @@
         process::Shared,
     },
     kameo::{Actor, actor::ActorRef},
+    oriolehoist_ownership::ShardBinding,
     oriolehoist_protocol::{
-        Heard, PeerHello, Resignation, ServerAddress, ServerName, ServiceName, Version,
+        Heard, PeerHello, Resignation, ServerAddress, ServerName, ServiceName, ShardId, Version,
     },
-    oriolehoist_settings::Service,
+    oriolehoist_settings::{Binding, Service},
     oriolehoist_time::Millis,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -119,6 +120,16 @@
             .unwrap_or_default()
     }
 
+    /// Returns the shards of a service that are bound to certain servers.
+    pub(super) fn bindings_of(&self, name: &ServiceName) -> Vec<ShardBinding> {
+        let Some(service) = self.service(name) else { return Vec::new() };
+        let binding = |binding: &Binding| ShardBinding {
+            shard: ShardId::of_key(&binding.key, service.shards),
+            servers: binding.targets.clone(),
+        };
+        service.bindings.iter().map(binding).collect()
+    }
+
     /// Takes a silent assigner's place, if it is this daemon's turn.
     pub(super) fn consider_take_over(&mut self, name: &ServiceName, me: &ActorRef<Control>) {
         let now = self.now();
--- a/crates/oriolehoist_daemon/src/control/assigning.rs
+++ b/crates/oriolehoist_daemon/src/control/assigning.rs
@@ -31,7 +31,9 @@
 impl Control {
     pub(super) fn tick_assigner(&mut self, name: &ServiceName, me: &ActorRef<Control>) {
         let leaving = self.leaving_of(name);
+        let bindings = self.bindings_of(name);
         self.step(name, Event::ServersLeaving(leaving), me);
+        self.step(name, Event::Bindings(bindings), me);
         self.step(name, Event::Tick, me);
         self.send_heartbeats(name, me);
         self.store_assignment(name, me);
--- a/crates/oriolehoist_ownership/src/assigner/event.rs
+++ b/crates/oriolehoist_ownership/src/assigner/event.rs
@@ -2,7 +2,7 @@
     crate::assigner::ServerIndex,
     oriolehoist_protocol::{
         AcceptAnswer, AcceptTerm, HeartbeatAnswer, InstanceName, Order, ServerAnswer, ServerName,
-        ShardGrant, Witness,
+        ShardGrant, ShardId, Witness,
     },
     oriolehoist_time::Millis,
 };
@@ -51,8 +51,17 @@
     },
     /// These servers, and no others, are leaving.
     ServersLeaving(Vec<ServerName>),
-    /// The load of each shard, in requests.
-    Weights(Vec<u64>),
+    /// Only these shards are bound to certain servers.
+    Bindings(Vec<ShardBinding>),
+}
+
+/// The servers that may own a shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShardBinding {
+    /// The shard.
+    pub shard: ShardId,
+    /// The servers.
+    pub servers: Vec<ServerName>,
 }
 
 /// What an [`Assigner`](crate::Assigner) asks the runtime to do.
--- a/crates/oriolehoist_ownership/src/assigner/mod.rs
+++ b/crates/oriolehoist_ownership/src/assigner/mod.rs
@@ -8,7 +8,7 @@
 mod vouching;
 
 pub use {
-    event::{Effect, Event},
+    event::{Effect, Event, ShardBinding},
     oriolehoist_placement::ServerIndex,
     status::{AssignerStatus, ServerStatus},
 };
@@ -24,7 +24,7 @@
         },
     },
     oriolehoist_placement::{
-        Candidate, MoveBudget, PlacementInput, ServerLoads, choose_owner, plan,
+        Bindings, Candidate, MoveBudget, PlacementInput, ServerLoads, choose_owner, plan,
     },
     oriolehoist_protocol::{
         Assignment, AssignmentDelta, Epoch, HeartbeatAnswer, HeldGrant, InstanceName, Order,
@@ -54,6 +54,7 @@
     version: Version,
     settled: bool,
     stepped_down: bool,
+    bound: Bindings,
     moved: u64,
     balanced: Millis,
     started: Millis,
@@ -95,6 +96,7 @@
             version: Version(1),
             settled: false,
             stepped_down: false,
+            bound: Bindings::default(),
             moved: 0,
             balanced: now,
             started: now,
@@ -121,7 +123,7 @@
                 self.step_down_below(answer.accepted);
             }
             Event::ServersLeaving(names) => self.set_leaving(&names),
-            Event::Weights(weights) => self.set_weights(&weights),
+            Event::Bindings(bindings) => self.set_bindings(&bindings),
         }
         if self.stepped_down {
             effects.push(Effect::StepDown);
@@ -212,7 +214,6 @@
 
     /// Returns a summary for operators and metrics.
     pub fn status(&self, now: Millis) -> AssignerStatus {
-        let weights: Vec<u64> = self.shards.iter().map(ShardEntry::weight).collect();
         AssignerStatus {
             service: self.record.service.clone(),
             term: self.record.term,
@@ -235,7 +236,6 @@
                     }
                 })
                 .collect(),
-            weights,
         }
     }
 
@@ -300,9 +300,13 @@
         }
     }
 
-    fn set_weights(&mut self, weights: &[u64]) {
-        for (shard, weight) in self.shards.iter_mut().zip(weights) {
-            shard.set_weight(*weight);
+    fn set_bindings(&mut self, bindings: &[ShardBinding]) {
+        self.bound = Bindings::default();
+        for binding in bindings {
+            let allowed = (0..self.servers.len())
+                .filter(|&index| binding.servers.contains(self.servers[index].name()))
+                .map(ServerIndex);
+            self.bound.bind(binding.shard, allowed);
         }
     }
 
@@ -445,10 +449,11 @@
             return;
         }
         let mut loads = ServerLoads::of(&self.placement_input(now));
-        for shard in self.shards.iter_mut().filter(|s| s.is_free()) {
-            let Some(server) = choose_owner(&mut loads, shard.weight(), shard.preferred()) else {
-                break;
-            };
+        for (index, shard) in self.shards.iter_mut().enumerate().filter(|(_, s)| s.is_free()) {
+            let id = ShardId(u32::try_from(index).unwrap_or(u32::MAX));
+            let (weight, preferred) = (shard.weight(), shard.preferred());
+            let chosen = choose_owner(&mut loads, &self.bound, id, weight, preferred);
+            let Some(server) = chosen else { continue };
             self.last_epoch = self.last_epoch.next();
             self.version = self.version.next();
             let list = self.servers[server.0].change_list();
@@ -474,14 +479,14 @@
 
     /// Starts moves: at once off leaving servers, and at intervals for balance.
     fn plan_moves(&mut self, now: Millis) {
-        let leaving = self.servers.iter().any(ServerEntry::is_leaving);
+        let must_move = self.must_move();
         let idle = self.shards.iter().all(ShardEntry::is_confirmed);
         let due = idle && now.since(self.balanced) >= BALANCE_INTERVAL;
         let moves = match due {
             true => self.budget.moves,
             false => 0,
         };
-        if !due && !leaving {
+        if !due && !must_move {
             return;
         }
         if due {
@@ -498,6 +503,15 @@
         }
     }
 
+    /// Returns whether a shard may not stay where it is.
+    fn must_move(&self) -> bool {
+        let leaving = self.servers.iter().any(ServerEntry::is_leaving);
+        let misplaced = |(shard, entry): (ShardId, &ShardEntry)| {
+            entry.planned_owner().is_some_and(|owner| !self.bound.allows(shard, owner))
+        };
+        leaving || self.shard_ids().zip(&self.shards).any(misplaced)
+    }
+
     fn placement_input(&self, now: Millis) -> PlacementInput {
         let candidate = |entry: &ServerEntry| Candidate {
             eligible: entry.is_fenced() && entry.is_reachable(now, &self.timing),
@@ -507,6 +521,7 @@
             owners: self.shards.iter().map(ShardEntry::planned_owner).collect(),
             weights: self.shards.iter().map(ShardEntry::weight).collect(),
             servers: self.servers.iter().map(candidate).collect(),
+            bound: self.bound.clone(),
         }
     }
 
--- a/crates/oriolehoist_ownership/src/assigner/shard.rs
+++ b/crates/oriolehoist_ownership/src/assigner/shard.rs
@@ -74,11 +74,6 @@
         self.weight
     }
 
-    pub(super) fn set_weight(&mut self, weight: u64) {
-        // A shard without traffic still counts, so that idle shards spread as well.
-        self.weight = weight.max(1);
-    }
-
     pub(super) fn changed_at(&self) -> Version {
         self.changed_at
     }
--- a/crates/oriolehoist_ownership/src/assigner/status.rs
+++ b/crates/oriolehoist_ownership/src/assigner/status.rs
@@ -20,9 +20,6 @@
     pub moved_shards: u64,
     /// The servers.
     pub servers: Vec<ServerStatus>,
-    /// The load of each shard.
-    #[serde(skip)]
-    pub weights: Vec<u64>,
 }
 
 /// One server as the assigner sees it.
--- a/crates/oriolehoist_ownership/src/lib.rs
+++ b/crates/oriolehoist_ownership/src/lib.rs
@@ -27,7 +27,7 @@
 mod timing;
 
 pub use {
-    assigner::{Assigner, AssignerStatus, Effect, Event, ServerIndex, ServerStatus},
+    assigner::{Assigner, AssignerStatus, Effect, Event, ServerIndex, ServerStatus, ShardBinding},
     follower::{Follower, Rank},
     grants::{GrantRefusal, GrantTable, Work},
     record::{PeerView, choose_witnesses, initial_record, successor_record},
--- a/crates/oriolehoist_placement/src/input.rs
+++ b/crates/oriolehoist_placement/src/input.rs
@@ -1,4 +1,4 @@
-use oriolehoist_protocol::ShardId;
+use {oriolehoist_protocol::ShardId, std::collections::BTreeMap};
 
 /// A backend server's position in the list that placement works on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -29,6 +29,26 @@
     pub weights: Vec<u64>,
     /// The servers.
     pub servers: Vec<Candidate>,
+    /// The shards that only certain servers may own.
+    pub bound: Bindings,
+}
+
+/// Which servers may own a shard; a shard that is not named may go anywhere.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Bindings {
+    allowed: BTreeMap<ShardId, Vec<ServerIndex>>,
+}
+
+impl Bindings {
+    /// Lets only these servers own a shard.
+    pub fn bind(&mut self, shard: ShardId, servers: impl IntoIterator<Item = ServerIndex>) {
+        self.allowed.insert(shard, servers.into_iter().collect());
+    }
+
+    /// Returns whether a server may own a shard.
+    pub fn allows(&self, shard: ShardId, server: ServerIndex) -> bool {
+        self.allowed.get(&shard).is_none_or(|servers| servers.contains(&server))
+    }
 }
 
 /// Bounds on what one plan may move.
@@ -68,9 +88,11 @@
         ServerLoads { loads, servers: input.servers.clone() }
     }
 
-    /// Returns the receiving server with the least load; the lowest index among equals.
-    pub fn least(&self) -> Option<ServerIndex> {
-        self.receivers().min_by_key(|&s| (self.load(s), s))
+    /// Returns the receiving server that may own `shard` with the least load; the lowest index
+    /// among equals.
+    pub fn least(&self, bound: &Bindings, shard: ShardId) -> Option<ServerIndex> {
+        let allowed = self.receivers().filter(|&server| bound.allows(shard, server));
+        allowed.min_by_key(|&server| (self.load(server), server))
     }
 
     /// Returns the receiving server with the greatest load.
--- a/crates/oriolehoist_placement/src/lib.rs
+++ b/crates/oriolehoist_placement/src/lib.rs
@@ -3,12 +3,15 @@
 //! Pure functions: the same input always gives the same plan.
 //!
 //! ```
-//! use oriolehoist_placement::{Candidate, MoveBudget, PlacementInput, ServerIndex, plan};
+//! use oriolehoist_placement::{
+//!     Bindings, Candidate, MoveBudget, PlacementInput, ServerIndex, plan,
+//! };
 //!
 //! let input = PlacementInput {
 //!     owners: vec![Some(ServerIndex(0)); 4],
 //!     weights: vec![1; 4],
 //!     servers: vec![Candidate::ready(), Candidate::ready()],
+//!     bound: Bindings::default(),
 //! };
 //! let moves = plan(&input, MoveBudget { moves: 8, ratio_percent: 125 });
 //! assert_eq!(moves.len(), 2);
@@ -20,6 +23,6 @@
 
 pub use {
     choose::choose_owner,
-    input::{Candidate, MoveBudget, PlacementInput, ServerIndex, ServerLoads, ShardMove},
+    input::{Bindings, Candidate, MoveBudget, PlacementInput, ServerIndex, ServerLoads, ShardMove},
     plan::plan,
 };
--- a/crates/oriolehoist_placement/src/plan.rs
+++ b/crates/oriolehoist_placement/src/plan.rs
@@ -3,7 +3,8 @@
     oriolehoist_protocol::ShardId,
 };
 
-/// Plans moves: first everything off leaving servers, then the heaviest helpful moves for balance.
+/// Plans moves: first every shard off a server that leaves or may not own it, then the heaviest
+/// helpful moves for balance.
 ///
 /// Balance is left alone while the greatest load is within the budget's ratio of the mean, and a
 /// shard moves only if the receiver ends below the giver's present load, so a plan never swaps
@@ -26,6 +27,7 @@
     moves
 }
 
+/// Moves what may not stay where it is.
 fn evacuate(
     input: &PlacementInput,
     loads: &mut ServerLoads,
@@ -33,12 +35,15 @@
 ) -> Vec<ShardMove> {
     let mut moves = Vec::new();
     for (index, owner) in owners.iter_mut().enumerate() {
-        let leaving = owner.is_some_and(|ServerIndex(s)| input.servers[s].leaving);
-        match loads.least() {
-            Some(to) if leaving => {
+        let shard = shard_at(index);
+        let must_go = owner.is_some_and(|server| {
+            input.servers[server.0].leaving || !input.bound.allows(shard, server)
+        });
+        match loads.least(&input.bound, shard) {
+            Some(to) if must_go => {
                 loads.shift(input.weights[index], *owner, to);
                 *owner = Some(to);
-                moves.push(ShardMove { shard: shard_at(index), to });
+                moves.push(ShardMove { shard, to });
             }
             _ => {}
         }
@@ -53,16 +58,19 @@
     ratio_percent: u64,
 ) -> Option<ShardMove> {
     let from = loads.greatest()?;
-    let to = loads.least()?;
     let heaviest = loads.load(from);
     if heaviest * 100 <= loads.mean() * ratio_percent {
         return None;
     }
-    let index = (0..owners.len())
-        .filter(|&i| owners[i] == Some(from) && input.weights[i] > 0)
-        .filter(|&i| loads.load(to) + input.weights[i] < heaviest)
-        .max_by_key(|&i| input.weights[i])?;
-    Some(ShardMove { shard: shard_at(index), to })
+    let helps = |index: usize| {
+        let shard = shard_at(index);
+        let to = loads.least(&input.bound, shard)?;
+        (loads.load(to) + input.weights[index] < heaviest).then_some(ShardMove { shard, to })
+    };
+    (0..owners.len())
+        .filter(|&index| owners[index] == Some(from) && input.weights[index] > 0)
+        .filter_map(helps)
+        .max_by_key(|next| input.weights[next.shard.index()])
 }
 
 fn shard_at(index: usize) -> ShardId {
--- a/crates/oriolehoist_placement/tests/placement.rs
+++ b/crates/oriolehoist_placement/tests/placement.rs
@@ -3,8 +3,10 @@
 use {
     googletest::prelude::*,
     oriolehoist_placement::{
-        Candidate, MoveBudget, PlacementInput, ServerIndex, ServerLoads, choose_owner, plan,
+        Bindings, Candidate, MoveBudget, PlacementInput, ServerIndex, ServerLoads, choose_owner,
+        plan,
     },
+    oriolehoist_protocol::ShardId,
 };
 
 const SHARDS: usize = 256;
@@ -15,6 +17,7 @@
         owners: (0..SHARDS).map(|shard| Some(ServerIndex(shard % servers))).collect(),
         weights: vec![1; SHARDS],
         servers: vec![Candidate::ready(); servers],
+        bound: Bindings::default(),
     }
 }
 
@@ -53,8 +56,9 @@
         *owner = None;
     }
     let mut loads = ServerLoads::of(&input);
-    for owner in input.owners.iter_mut().filter(|owner| owner.is_none()) {
-        *owner = choose_owner(&mut loads, 1, Some(ServerIndex(3)));
+    for (index, owner) in input.owners.iter_mut().enumerate().filter(|(_, o)| o.is_none()) {
+        let shard = ShardId(index as u32);
+        *owner = choose_owner(&mut loads, &input.bound, shard, 1, Some(ServerIndex(3)));
     }
     expect_that!(input.owners, each(not(eq(&Some(ServerIndex(3))))));
     expect_that!(plan(&input, MoveBudget { ratio_percent: 125, ..MANY }), is_empty());
@@ -98,3 +102,15 @@
     input.servers.push(Candidate::ready());
     expect_that!(plan(&input, MoveBudget { moves: 3, ratio_percent: 100 }).len(), eq(3));
 }
+
+#[gtest]
+fn bound_shards_go_where_they_may_and_nowhere_else() {
+    let mut input = even(4);
+    input.bound.bind(ShardId(0), [ServerIndex(2), ServerIndex(3)]);
+    input.bound.bind(ShardId(1), []);
+    apply(&mut input, MANY);
+    expect_that!(input.owners[0], some(any![eq(ServerIndex(2)), eq(ServerIndex(3))]));
+    let mut loads = ServerLoads::of(&input);
+    let nowhere = choose_owner(&mut loads, &input.bound, ShardId(1), 1, Some(ServerIndex(1)));
+    expect_that!(nowhere, none());
+}
--- a/crates/oriolehoist_settings/src/tree/groups.rs
+++ b/crates/oriolehoist_settings/src/tree/groups.rs
@@ -57,11 +57,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fencing {
-    /// It refuses orders of a stale term and requests of a wrong epoch.
+    /// It refuses orders of a stale term and requests of a wrong epoch. Servers that do not check
+    /// are refused by the settings so far: nothing would keep a key's owners apart.
     #[default]
     Checked,
-    /// It runs whatever it is sent.
-    Unchecked,
 }
 
 inherited! {
@@ -96,7 +95,7 @@
         /// How many connections it takes.
         connections: u64 = 100, count(1, 1_000_000, "connections");
         /// Whether it checks who gives it an order.
-        fencing: Fencing = Fencing::Checked, Shape::Choice(&["checked", "unchecked"]);
+        fencing: Fencing = Fencing::Checked, Shape::Choice(&["checked"]);
     }
 }
 
--- a/crates/oriolehoist_testkit/src/cluster/cluster.rs
+++ b/crates/oriolehoist_testkit/src/cluster/cluster.rs
@@ -28,21 +28,12 @@
     pub list_lag: Millis,
     /// How long servers stay slow after a start.
     pub cold_for: Millis,
-    /// Whether the servers of the service split by key check grants.
-    pub fenced: bool,
 }
 
 impl ClusterOptions {
     /// A site as its users run it, with this many daemons.
     pub fn new(site: Site, daemons: usize, mode: DaemonMode) -> ClusterOptions {
-        ClusterOptions {
-            site,
-            daemons,
-            mode,
-            list_lag: Millis(1000),
-            cold_for: Millis::ZERO,
-            fenced: true,
-        }
+        ClusterOptions { site, daemons, mode, list_lag: Millis(1000), cold_for: Millis::ZERO }
     }
 }
 
@@ -168,7 +159,6 @@
                     service_time: service.service_time,
                     cold_for: options.cold_for,
                     keyed: service.keyed,
-                    fenced: options.fenced,
                 };
                 let real = options.address;
                 let server = BackendServer::new(options, self.clock, self.journal.clone());
--- a/crates/oriolehoist_testkit/src/scenario/judge.rs
+++ b/crates/oriolehoist_testkit/src/scenario/judge.rs
@@ -41,7 +41,7 @@
         overlaps: overlapping_owners(&beliefs, &runs),
         head: cluster.settings_version(),
     };
-    let mut violations = evidence.standing(script);
+    let mut violations = evidence.standing();
     for expectation in &script.expectations {
         violations.extend(evidence.check(expectation));
     }
@@ -69,12 +69,9 @@
 
 impl Evidence<'_> {
     /// Judges what must hold in every scenario.
-    fn standing(&self, script: &Script) -> Vec<Violation> {
+    fn standing(&self) -> Vec<Violation> {
         let mut found = Vec::new();
-        let possible = script.expectations.contains(&Expectation::OverlapPossible);
-        if !possible {
-            found.extend(self.overlaps.iter().take(MAX_TOLD).cloned());
-        }
+        found.extend(self.overlaps.iter().take(MAX_TOLD).cloned());
         found.extend(own_answers(self.records).into_iter().take(MAX_TOLD));
         found.extend(ran_more_than_once(self.records, self.runs).into_iter().take(MAX_TOLD));
         found.extend(ran_though_not_run(self.records, self.runs).into_iter().take(MAX_TOLD));
@@ -134,13 +131,17 @@
                 let rate = self.happened.store_calls * 1000 / length;
                 told(rate > *most, format!("{rate} calls a second to the store"))
             }
+            Expectation::RunsAt(key, server) => {
+                let mut runs = self.runs.iter().filter(|r| r.key == *key).peekable();
+                let elsewhere = runs.peek().is_none() || runs.any(|r| r.server.as_str() != server);
+                told(elsewhere, format!("{key} did not run at {server} alone"))
+            }
             Expectation::MovesAtMost(most) => {
                 told(self.moves > *most, format!("{} shards changed owner", self.moves))
             }
             Expectation::MovesAtLeast(least) => {
                 told(self.moves < *least, format!("{} shards changed owner", self.moves))
             }
-            Expectation::OverlapPossible => Vec::new(),
         }
     }
 
--- a/crates/oriolehoist_testkit/src/scenario/parse.rs
+++ b/crates/oriolehoist_testkit/src/scenario/parse.rs
@@ -37,7 +37,6 @@
     let mut script = Script {
         site: "villacres".into(),
         daemons: 4,
-        fenced: true,
         list_lag: Millis(1000),
         service_extra: String::new(),
         loads: Vec::new(),
@@ -60,7 +59,6 @@
     match words {
         ["site", name] => script.site = (*name).into(),
         ["daemons", count] => script.daemons = whole(count)? as usize,
-        ["servers", "unchecked"] => script.fenced = false,
         ["list", "lags", time] => script.list_lag = millis(time)?,
         ["service", "setting", rest @ ..] => {
             script.service_extra.push_str(&rest.join(" "));
@@ -225,9 +223,9 @@
         ["head-version", number] => Expectation::HeadVersion(whole(number)?),
         ["crashes", "at-most", count] => Expectation::CrashesAtMost(whole(count)?),
         ["store-calls", "at-most", count] => Expectation::StoreCalls(whole(count)?),
+        ["runs-at", key, server] => Expectation::RunsAt((*key).into(), (*server).into()),
         ["moves", "at-most", count] => Expectation::MovesAtMost(whole(count)?),
         ["moves", "at-least", count] => Expectation::MovesAtLeast(whole(count)?),
-        ["overlap-possible"] => Expectation::OverlapPossible,
         _ => return Err("an expectation".into()),
     })
 }
--- a/crates/oriolehoist_testkit/src/scenario/run.rs
+++ b/crates/oriolehoist_testkit/src/scenario/run.rs
@@ -74,13 +74,9 @@
     let mut site = site::by_name(&script.site).ok_or_eyre("no such site")?;
     for service in site.services.iter_mut().filter(|service| service.keyed) {
         service.extra = script.service_extra.clone();
-        if !script.fenced {
-            service.extra.push_str(r#""server": { "fencing": "unchecked" },"#);
-        }
     }
     let mut options = ClusterOptions::new(site, script.daemons, mode);
     options.list_lag = script.list_lag;
-    options.fenced = script.fenced;
     let cluster = Cluster::start(options).await?;
     let mut runner = Runner::new(cluster)?;
     runner.play(script).await?;
--- a/crates/oriolehoist_testkit/src/scenario/script.rs
+++ b/crates/oriolehoist_testkit/src/scenario/script.rs
@@ -7,8 +7,6 @@
     pub site: String,
     /// How many daemons.
     pub daemons: usize,
-    /// Whether the servers check grants.
-    pub fenced: bool,
     /// How far the instance list lags.
     pub list_lag: Millis,
     /// Members added to the service split by key, in its settings.
@@ -173,10 +171,10 @@
     CrashesAtMost(u64),
     /// At most so many calls a second went to the store.
     StoreCalls(u64),
+    /// Every request for a key ran at this server.
+    RunsAt(String, String),
     /// At most so many shards changed owner.
     MovesAtMost(u64),
     /// At least so many shards changed owner.
     MovesAtLeast(u64),
-    /// Two servers may own a shard for a moment, and did: what the site chose not to check.
-    OverlapPossible,
 }
--- a/crates/oriolehoist_testkit/src/standin/backend.rs
+++ b/crates/oriolehoist_testkit/src/standin/backend.rs
@@ -50,8 +50,6 @@
     pub cold_for: Millis,
     /// Whether keys are owned.
     pub keyed: bool,
-    /// Whether it checks grants and epochs.
-    pub fenced: bool,
 }
 
 /// A stand-in backend server, with threads of its own so that it can be killed at any moment.
@@ -259,10 +257,10 @@
         self.table.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Begins work under the grants, which a server that does not check never asks.
+    /// Begins work under the grants, if keys are owned.
     fn begin(&self, shard: Option<ShardId>, epoch: Option<Epoch>) -> Result<Option<Work>, ()> {
         match (shard, epoch) {
-            _ if !self.options.keyed || !self.options.fenced => Ok(None),
+            _ if !self.options.keyed => Ok(None),
             (Some(shard), Some(epoch)) => {
                 self.table().begin(self.clock.now(), shard, epoch).map(Some).map_err(drop)
             }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -43,6 +43,7 @@
 }
 
 scenarios! {
+    intent_keys_bound_to_servers
     again_after_a_restart
     again_after_zone_of_servers
     again_at_the_second_site
