--- /dev/null
+++ b/examples/load.rs
@@ -0,0 +1,151 @@
+//! Drives one service at several multiples of its capacity, and prints one JSON line for each.
+//!
+//! `cargo run --release --example load -- --service caretaker-desk --factors 0.5,0.9,1.2,3`
+//!
+//! Arrivals are open-loop with a seed; times count from when a request was due. A fifth of the
+//! requests is urgent, two fifths are interactive and two fifths bulk.
+
+use {
+    argh::FromArgs,
+    eyre::OptionExt,
+    hdrhistogram::Histogram,
+    oriolehoist_testkit::{
+        caller::{Balancer, LoadMix, Outcome, Record, Records, run_load},
+        cluster::{Cluster, ClusterOptions, DaemonMode},
+        site,
+        standin::RunEnd,
+    },
+    oriolehoist_time::Millis,
+    serde_json::json,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Drives one service of a site at several multiples of its capacity.
+#[derive(FromArgs)]
+struct Args {
+    /// the site: villacres or sfax
+    #[argh(option, default = "String::from(\"sfax\")")]
+    site: String,
+    /// the service
+    #[argh(option, default = "String::from(\"caretaker-desk\")")]
+    service: String,
+    /// multiples of the capacity, separated by commas
+    #[argh(option, default = "String::from(\"0.5,0.9,1.2,3\")")]
+    factors: String,
+    /// how long a request runs, in milliseconds
+    #[argh(option, default = "40")]
+    work: u64,
+    /// the callers' deadline, in milliseconds
+    #[argh(option, default = "1000")]
+    deadline: u64,
+    /// how many keys, for a service split by key
+    #[argh(option, default = "0")]
+    keys: u64,
+    /// how many daemons
+    #[argh(option, default = "8")]
+    daemons: usize,
+    /// for how long each multiple is driven, in seconds
+    #[argh(option, default = "6")]
+    seconds: u64,
+    /// the seed of the arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// The first seconds of each load, which are not counted.
+const WARM_UP: Millis = Millis::from_secs(1);
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let site = site::by_name(&args.site).ok_or_eyre("no such site")?;
+    let service = site.services.iter().find(|s| s.name == args.service).cloned();
+    let service = service.ok_or_eyre("no such service")?;
+    let capacity = service.targets as u64 * u64::from(service.slots) * 1000 / args.work;
+    for factor in args.factors.split(',') {
+        let factor: f64 = factor.parse()?;
+        let options = ClusterOptions::new(site.clone(), args.daemons, DaemonMode::Embedded);
+        let cluster = Cluster::start(options).await?;
+        let records = drive(&cluster, &args, (capacity as f64 * factor) as u64).await;
+        println!("{}", summary(&cluster, &records, &args, factor, capacity));
+        cluster.clean_up();
+    }
+    Ok(())
+}
+
+async fn drive(cluster: &Cluster, args: &Args, rate: u64) -> Vec<Record> {
+    let balancer = Arc::new(Balancer::start(cluster.daemons.iter().map(|d| d.callers).collect()));
+    let records = Records::default();
+    let length = Millis::from_secs(args.seconds) + WARM_UP;
+    let started = cluster.clock.now();
+    let load = |class: &'static str, fifths: u64, seed: u64| {
+        let mix = LoadMix {
+            service: args.service.clone(),
+            rate: (rate * fifths / 5).max(1),
+            keys: args.keys,
+            bookings: 0,
+            class,
+            tenant: String::new(),
+            deadline: Millis(args.deadline),
+            work: Some(Millis(args.work)),
+            repeat_unknown: false,
+            path: "work".into(),
+            seed: args.seed + seed,
+        };
+        run_load(cluster.clock, Arc::clone(&balancer), records.clone(), mix, length)
+    };
+    let loads = [load("urgent", 1, 1), load("interactive", 2, 2), load("bulk", 2, 3)];
+    for load in loads {
+        load.finish().await;
+    }
+    records.all().into_iter().filter(|r| r.due >= started + WARM_UP).collect()
+}
+
+fn summary(
+    cluster: &Cluster,
+    records: &[Record],
+    args: &Args,
+    factor: f64,
+    capacity: u64,
+) -> serde_json::Value {
+    let in_time = |r: &&Record| r.is_served() && r.took() <= r.deadline;
+    let goodput = records.iter().filter(in_time).count() as f64 / args.seconds as f64;
+    let mut refusals: BTreeMap<&str, u64> = BTreeMap::new();
+    for record in records {
+        match &record.outcome {
+            Outcome::Refused { kind, .. } => *refusals.entry(kind).or_default() += 1,
+            Outcome::NoAnswer => *refusals.entry("no-answer").or_default() += 1,
+            Outcome::Served { .. } => {}
+        }
+    }
+    let refused = |r: &&Record| matches!(r.outcome, Outcome::Refused { .. });
+    let abandoned = cluster.journal.runs().iter().filter(|r| r.end == RunEnd::Abandoned).count();
+    json!({
+        "service": args.service,
+        "factor": factor,
+        "offered_per_s": records.len() as f64 / args.seconds as f64,
+        "goodput_of_capacity": (goodput / capacity as f64 * 1000.0).round() / 1000.0,
+        "urgent": class(records, "urgent"),
+        "interactive": class(records, "interactive"),
+        "bulk": class(records, "bulk"),
+        "refusal_p99_ms": quantile(records.iter().filter(refused), 0.99),
+        "refusals": refusals,
+        "abandoned_runs": abandoned,
+    })
+}
+
+fn class(records: &[Record], class: &str) -> serde_json::Value {
+    let own: Vec<&Record> = records.iter().filter(|r| r.class == class).collect();
+    let served = own.iter().filter(|r| r.is_served()).count();
+    json!({
+        "served_percent": served * 100 / own.len().max(1),
+        "p50_ms": quantile(own.iter().copied().filter(|r| r.is_served()), 0.5),
+        "p99_ms": quantile(own.iter().copied().filter(|r| r.is_served()), 0.99),
+    })
+}
+
+fn quantile<'a>(records: impl Iterator<Item = &'a Record>, quantile: f64) -> u64 {
+    let mut times = Histogram::<u64>::new(3).unwrap_or_else(|_| unreachable!("3 digits are few"));
+    records.for_each(|record| times.saturating_record(record.took().0.max(1)));
+    times.value_at_quantile(quantile)
+}
