--- a/crates/oriolehoist_admission/src/gate.rs
+++ b/crates/oriolehoist_admission/src/gate.rs
@@ -52,40 +52,9 @@
     queue: ClassQueue,
     /// Moving average of the service time, in eighths of a millisecond.
     service_eighths: u64,
-    departures: Departures,
     closed_until: Millis,
 }
 
-/// How fast requests leave while others wait.
-///
-/// Other daemons use the same server, so its service time and this daemon's limit alone say too
-/// little about the wait.
-#[derive(Clone, Copy, Debug, Default)]
-struct Departures {
-    /// The last departure after which somebody waited.
-    last: Option<Millis>,
-    /// Moving average of the time between departures, in eighths of a millisecond.
-    interval_eighths: u64,
-}
-
-impl Departures {
-    fn note(&mut self, now: Millis, someone_waits: bool) {
-        if let Some(last) = self.last {
-            let interval = now.since(last).0;
-            self.interval_eighths = match self.interval_eighths {
-                0 => interval * 8,
-                old => old - old / 8 + interval,
-            };
-        }
-        self.last = someone_waits.then_some(now);
-    }
-
-    /// Returns how long it takes until so many have left.
-    fn wait_for(&self, ahead: u64) -> Millis {
-        Millis(self.interval_eighths * ahead / 8)
-    }
-}
-
 /// How long nothing is sent to a server that has just shed a request, in service times.
 const SHED_PAUSE_SERVICES: u64 = 1;
 /// The least of that pause.
@@ -102,7 +71,6 @@
             running: 0,
             queue: ClassQueue::default(),
             service_eighths: 0,
-            departures: Departures::default(),
             closed_until: Millis::ZERO,
         }
     }
@@ -139,7 +107,6 @@
         match leave {
             Leave::Served(took) => {
                 self.learn(took);
-                self.departures.note(now, !self.queue.is_empty());
                 if at_limit {
                     self.limit.on_served_at_limit();
                 }
@@ -209,7 +176,7 @@
     fn expected_wait(&self, waiting: &Waiting) -> Millis {
         let ahead = self.queue.ahead_of(waiting.class) as u64 + 1;
         let rounds = ahead.div_ceil(u64::from(self.limit.get()));
-        (self.service() * rounds).max(self.departures.wait_for(ahead))
+        self.service() * rounds
     }
 
     fn shed_pause(&self) -> Millis {
