--- a/crates/oriolehoist_ownership/src/assigner/mod.rs
+++ b/crates/oriolehoist_ownership/src/assigner/mod.rs
@@ -1,6 +1,7 @@
 //! The state machine of the daemon that holds a service's term.
 
 mod event;
+mod orders;
 mod predecessor;
 mod server;
 mod shard;
@@ -19,7 +20,7 @@
         assigner::{
             predecessor::Predecessors,
             server::{Life, ServerEntry},
-            shard::{Phase, ShardEntry},
+            shard::ShardEntry,
             vouching::Vouching,
         },
     },
@@ -27,9 +28,9 @@
         Bindings, Candidate, MoveBudget, PlacementInput, ServerLoads, choose_owner, plan,
     },
     oriolehoist_protocol::{
-        Assignment, AssignmentDelta, Epoch, HeartbeatAnswer, HeldGrant, InstanceName, Order,
-        OrderBody, OrderOutcome, RouteState, ServerAnswer, ServerName, ShardChange, ShardGrant,
-        ShardId, Term, TermRecord, Version,
+        Assignment, AssignmentDelta, Epoch, HeartbeatAnswer, HeldGrant, InstanceName, OrderOutcome,
+        RouteState, ServerAnswer, ServerName, ShardChange, ShardGrant, ShardId, Term, TermRecord,
+        Version,
     },
     oriolehoist_time::Millis,
 };
@@ -525,74 +526,6 @@
         }
     }
 
-    fn send_revocations(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        for index in 0..self.servers.len() {
-            let server = ServerIndex(index);
-            let grants = self.grants_of(|phase| match phase {
-                Phase::Revoking { from, epoch, .. } if *from == server => Some(*epoch),
-                _ => None,
-            });
-            if grants.is_empty() || !self.servers[index].revocation_due(now, &self.timing) {
-                continue;
-            }
-            let body = OrderBody::Revoke { grants };
-            effects.push(self.order(server, body));
-        }
-    }
-
-    fn send_orders(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        let may_act = self.may_act(now);
-        for index in 0..self.servers.len() {
-            let server = ServerIndex(index);
-            let entry = &self.servers[index];
-            let echo = entry.echo(now, &self.timing).filter(|_| may_act && entry.is_fenced());
-            if !entry.order_due(now, &self.timing, echo.is_some()) {
-                continue;
-            }
-            let body = match echo {
-                Some(echo) => OrderBody::Renew {
-                    echo: echo.time,
-                    incarnation: echo.incarnation,
-                    length: self.timing.grant,
-                    list: entry.list(),
-                    grants: entry.needs_list().then(|| self.granted_to(server)),
-                },
-                None => OrderBody::Probe,
-            };
-            let renews = matches!(body, OrderBody::Renew { .. });
-            self.servers[index].on_order_sent(now, renews, &self.timing);
-            effects.push(self.order(server, body));
-        }
-    }
-
-    fn granted_to(&self, server: ServerIndex) -> Vec<ShardGrant> {
-        self.grants_of(|phase| match phase {
-            Phase::Granted { server: owner, epoch, .. }
-            | Phase::Revoking { from: owner, epoch, .. }
-                if *owner == server =>
-            {
-                Some(*epoch)
-            }
-            _ => None,
-        })
-    }
-
-    fn grants_of(&self, epoch_of: impl Fn(&Phase) -> Option<Epoch>) -> Vec<ShardGrant> {
-        self.shard_ids()
-            .zip(&self.shards)
-            .filter_map(|(shard, entry)| {
-                epoch_of(entry.phase()).map(|epoch| ShardGrant { shard, epoch })
-            })
-            .collect()
-    }
-
-    fn order(&self, server: ServerIndex, body: OrderBody) -> Effect {
-        Effect::Send {
-            server,
-            order: Order { service: self.record.service.clone(), term: self.record.term, body },
-        }
-    }
-
     /// Reports once that no earlier holder can renew anything any more.
     fn settle(&mut self, now: Millis, effects: &mut Vec<Effect>) {
         if self.predecessors.are_over(now) && !self.settled {
--- a/crates/oriolehoist_testkit/src/demo/mod.rs
+++ b/crates/oriolehoist_testkit/src/demo/mod.rs
@@ -1,7 +1,10 @@
 //! A whole site in one process, for people to try.
 
+mod program;
 mod report;
 
+pub use program::{mixed_load, run_program};
+
 use {
     crate::{
         caller::{Balancer, LoadMix, Records, run_load},
