Drop a refusal that never comes, and check the names of classes

Cause: reading the closed list of refusals against the code, 'stopping' was never given: a stopping daemon serves until it closes. And a class of any name was accepted in the settings without effect.

Change: sixteen kinds; a class is urgent, interactive or bulk.

Before: a document with the class 'gold' was correct.

--- a/crates/oriolehoist_refusal/src/kind.rs
+++ b/crates/oriolehoist_refusal/src/kind.rs
@@ -30,9 +30,6 @@
     /// The daemon has no settings yet.
     #[display("not-ready")]
     NotReady,
-    /// The daemon is stopping.
-    #[display("stopping")]
-    Stopping,
     /// The queue for the server is full.
     #[display("overloaded")]
     Overloaded,
@@ -101,14 +98,13 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 17] = [
+    pub const ALL: [Kind; 16] = [
         Kind::Malformed,
         Kind::MissingKey,
         Kind::TooLarge,
         Kind::SlowSender,
         Kind::UnknownService,
         Kind::NotReady,
-        Kind::Stopping,
         Kind::Overloaded,
         Kind::Deadline,
         Kind::OwnerLost,
@@ -134,7 +130,6 @@
             Kind::SlowSender => row(408, NotRun, after(1000), "The body arrived too slowly."),
             Kind::UnknownService => row(404, NotRun, Never, "There is no such service."),
             Kind::NotReady => row(503, NotRun, after(1000), "The daemon has no settings yet."),
-            Kind::Stopping => row(503, NotRun, after(100), "The daemon is stopping."),
             Kind::Overloaded => row(503, NotRun, after(500), "The servers have too much to do."),
             Kind::Deadline => row(504, NotRun, after(500), "The work can't be done in time."),
             Kind::OwnerLost => row(503, NotRun, after(1000), "The key's owner was lost."),
--- a/crates/oriolehoist_settings/src/document/cross.rs
+++ b/crates/oriolehoist_settings/src/document/cross.rs
@@ -8,6 +8,9 @@
 /// What is left of that time for messages and scheduling, in milliseconds.
 const MESSAGES_MS: u64 = 200;
 
+/// The classes that a request can have.
+const CLASSES: [&str; 3] = ["urgent", "interactive", "bulk"];
+
 /// Checks the rules that reach across branches.
 ///
 /// # Errors
@@ -18,6 +21,7 @@
     for (name, service) in &settings.services {
         cx.check_targets(name.as_str(), service, settings);
         cx.check_bindings(name.as_str(), service);
+        cx.check_classes(name.as_str(), service);
         cx.check_timing(name.as_str(), service, settings);
     }
     cx.check_addresses(settings);
@@ -87,6 +91,13 @@
         }
     }
 
+    fn check_classes(&mut self, name: &str, service: &Service) {
+        for class in service.classes.keys().filter(|c| !CLASSES.contains(&c.as_str())) {
+            let path = ["services", name, "classes", class.as_str()];
+            self.report(&path, format!("one of {}", CLASSES.join(", ")), format!("\"{class}\""));
+        }
+    }
+
     fn check_timing(&mut self, name: &str, service: &Service, settings: &Settings) {
         let timing = settings.timing_of(service);
         let sum = timing.lost_after_ms + timing.voucher_ms + timing.grant_ms;
--- a/crates/oriolehoist_settings/tests/documents.rs
+++ b/crates/oriolehoist_settings/tests/documents.rs
@@ -76,6 +76,11 @@
     expect_that!(told(&same), elements_are![contains_substring("an address of its own")]);
     let twice = SITE.replace("\"t2\"", "\"t1\"");
     expect_that!(told(&twice), elements_are![contains_substring("a name given twice")]);
+    let gold = SITE.replace("\"bulk\"", "\"gold\"");
+    expect_that!(
+        told(&gold),
+        elements_are![contains_substring("one of urgent, interactive, bulk")]
+    );
     let slow = SITE.replace("\"keyed\"", "\"timing\": { \"grant_ms\": 1700 }, \"keyed\"");
     expect_that!(told(&slow), elements_are![contains_substring("of at most 1800")]);
 }
