Give up a waiting request at once when a run would outlast its deadline

Cause: at three times the load 126 outcomes were unknown and 148 runs were cut off by their deadline: a request left the queue as long as its deadline had not yet passed, though the run would pass it.

Change: the gate, when it takes a request out, compares the usual service time with what is left, and gives it up; its caller is told at once.

The new test fails without the comparison, since the hopeless request is sent.

Not mended: the urgent p99, and refusals that come after waiting.

--- a/crates/oriolehoist_admission/src/gate.rs
+++ b/crates/oriolehoist_admission/src/gate.rs
@@ -23,6 +23,15 @@
     Refused(GateRefusal),
 }
 
+/// What to do with a waiting request whose turn it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It may be sent now.
+    Send(Ticket),
+    /// It gets its final answer now: a run would outlast its deadline.
+    GiveUp(Ticket),
+}
+
 /// Why a gate refuses a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GateRefusal {
@@ -119,18 +128,18 @@
         }
     }
 
-    /// Returns the next waiting request that may be sent now, and counts it as admitted.
-    ///
-    /// Requests whose deadline has passed are dropped: their callers have been answered.
-    pub fn next(&mut self, now: Millis) -> Option<Ticket> {
-        while self.has_room(now) {
-            let (ticket, waiting) = self.queue.pop()?;
-            if waiting.deadline > now {
-                self.running += 1;
-                return Some(ticket);
-            }
+    /// Returns the next waiting request whose turn it is: to be sent, which counts it as admitted,
+    /// or to be given up, since it would not be served before its deadline.
+    pub fn next(&mut self, now: Millis) -> Option<Turn> {
+        if !self.has_room(now) {
+            return None;
+        }
+        let (ticket, waiting) = self.queue.pop()?;
+        if now + self.service() >= waiting.deadline {
+            return Some(Turn::GiveUp(ticket));
         }
-        None
+        self.running += 1;
+        Some(Turn::Send(ticket))
     }
 
     /// Forgets a waiting request whose caller has gone. Returns whether it was still waiting.
--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use {
     class::Class,
-    gate::{Entry, Gate, GateLimits, GateRefusal, Leave},
+    gate::{Entry, Gate, GateLimits, GateRefusal, Leave, Turn},
     limit::AdaptiveLimit,
     queue::{ClassQueue, Ticket, Waiting},
     retry::RetryBudget,
--- a/crates/oriolehoist_admission/tests/admission.rs
+++ b/crates/oriolehoist_admission/tests/admission.rs
@@ -4,7 +4,7 @@
     googletest::prelude::*,
     oriolehoist_admission::{
         Class, ClassQueue, Crash, Entry, Fingerprint, Gate, GateLimits, GateRefusal, Judgement,
-        Leave, RetryBudget, Suspects, Waiting,
+        Leave, RetryBudget, Suspects, Turn, Waiting,
     },
     oriolehoist_time::Millis,
     proptest::{
@@ -88,11 +88,12 @@
                     }
                 }
             }
-            while let Some(ticket) = gate.next(now) {
+            while let Some(turn) = gate.next(now) {
+                let (Turn::Send(ticket) | Turn::GiveUp(ticket)) = turn;
                 let known = queued.iter().position(|t| *t == ticket);
                 prop_assert!(known.is_some(), "a ticket was admitted twice");
                 queued.remove(known.unwrap_or(0));
-                running += 1;
+                running += u32::from(matches!(turn, Turn::Send(_)));
             }
             prop_assert!(gate.running() == running && running <= 3);
             prop_assert_eq!(gate.queued(), queued.len());
@@ -151,3 +152,20 @@
     expect_that!(suspects.judge(Millis(1000), poison), eq(until));
     expect_that!(suspects.judge(Millis(61_000), poison), eq(Judgement::Clear));
 }
+
+#[gtest]
+fn a_waiting_request_that_has_become_hopeless_is_given_up_and_costs_no_slot() {
+    let mut gate = Gate::new(GateLimits { slots: 1, queue: 100 });
+    expect_that!(gate.enter(Millis(0), waiting(Class::Urgent, "")), eq(Entry::Admitted));
+    let Entry::Queued(hasty) = gate.enter(Millis(0), Waiting::new(Class::Urgent, "", Millis(150)))
+    else {
+        return fail!("nothing is known of the service time yet").unwrap_or_default();
+    };
+    let Entry::Queued(patient) = gate.enter(Millis(0), waiting(Class::Urgent, "")) else {
+        return fail!("there is room in the queue").unwrap_or_default();
+    };
+    gate.leave(Millis(100), Leave::Served(Millis(100)));
+    expect_that!(gate.next(Millis(100)), some(eq(Turn::GiveUp(hasty))));
+    expect_that!(gate.running(), eq(0));
+    expect_that!(gate.next(Millis(100)), some(eq(Turn::Send(patient))));
+}
--- a/crates/oriolehoist_daemon/src/connection/backend.rs
+++ b/crates/oriolehoist_daemon/src/connection/backend.rs
@@ -1,6 +1,6 @@
 use {
     crate::connection::Pool,
-    oriolehoist_admission::{Entry, Gate, GateLimits, GateRefusal, Leave, Ticket, Waiting},
+    oriolehoist_admission::{Entry, Gate, GateLimits, GateRefusal, Leave, Ticket, Turn, Waiting},
     oriolehoist_protocol::{Incarnation, ServerName},
     oriolehoist_time::{Clock, Millis},
     std::{
@@ -169,9 +169,13 @@
     fn release(&self) {
         let now = self.clock.now();
         let mut turnstile = self.turnstile();
-        while let Some(ticket) = turnstile.gate.next(now) {
-            let woken = turnstile.waiters.remove(&ticket).is_some_and(|tx| tx.send(()).is_ok());
-            if !woken {
+        while let Some(turn) = turnstile.gate.next(now) {
+            let (Turn::Send(ticket) | Turn::GiveUp(ticket)) = turn;
+            // Dropping the sender tells a waiter at once that it is given up.
+            let sender = turnstile.waiters.remove(&ticket);
+            let admitted = matches!(turn, Turn::Send(_));
+            let woken = admitted && sender.is_some_and(|tx| tx.send(()).is_ok());
+            if admitted && !woken {
                 turnstile.gate.leave(now, Leave::Failed);
             }
         }
@@ -239,9 +243,9 @@
         let admitted = {
             let mut turnstile = self.backend.turnstile();
             turnstile.gate.cancel(ticket);
-            // The gate's user takes a waiter out only to admit it. Since this place still held
-            // its receiver, the turn was given to it and has to be given back.
-            turnstile.waiters.remove(&ticket).is_none()
+            turnstile.waiters.remove(&ticket);
+            // A turn that was given in the same moment has to be given back.
+            self.turn.try_recv().is_ok()
         };
         if admitted {
             self.backend.leave(Leave::Failed);
