--- a/crates/oriolehoist_daemon/src/lib.rs
+++ b/crates/oriolehoist_daemon/src/lib.rs
@@ -1,7 +1,7 @@
 //! The daemon that runs on an entry instance.
 //!
-//! Folders follow how long things live: [`request`], [`connection`], [`version`] (of settings and
-//! assignments) and [`process`]. One thread runs [`control`], an actor that drives the decision
+//! Folders follow how long things live: `request`, `connection`, `version` (of settings and
+//! assignments) and `process`. One thread runs `control`, an actor that drives the decision
 //! crates; other threads serve callers from an immutable view that control publishes.
 //!
 //! ```no_run
