--- a/crates/oriolehoist_ownership/tests/world/mod.rs
+++ b/crates/oriolehoist_ownership/tests/world/mod.rs
@@ -2,9 +2,12 @@
 //! repeated, reordered and lost, processes that freeze and restart, and a store that goes away.
 #![allow(dead_code, reason = "each test binary uses a part of the world")]
 
+mod coarse;
+mod drift;
 mod message;
 
 use {
+    drift::Drift,
     message::{Cut, Message, Node, index_of},
     oriolehoist_ownership::{
         Assigner, Effect, Event, Follower, GrantTable, PeerView, ServerIndex, Timing, Work,
@@ -37,20 +40,6 @@
     drift_per_mille: 10,
 };
 
-/// A clock that runs a little fast or slow, in thousandths.
-#[derive(Clone, Copy, Debug)]
-struct Drift {
-    per_mille: i64,
-    offset: u64,
-}
-
-impl Drift {
-    fn at(&self, time: u64) -> Millis {
-        let skew = time as i64 * self.per_mille / 1000;
-        Millis(self.offset + (time as i64 + skew) as u64)
-    }
-}
-
 #[derive(Clone)]
 struct Server {
     drift: Drift,
@@ -249,26 +238,6 @@
         }
     }
 
-    /// How many coarse steps there are.
-    pub const COARSE_STEPS: usize = 11;
-
-    /// Carries out one of the coarse steps of the exhaustive exploration.
-    pub fn coarse_step(&mut self, step: usize) {
-        match step {
-            0 => self.run_in_order(1),
-            1 => self.time += 350,
-            2 => self.time += 950,
-            3 => self.isolate(0),
-            4 => self.cuts.clear(),
-            5 => self.take_over(1, true),
-            6 => self.daemons[0].frozen = !self.daemons[0].frozen,
-            7 => self.servers[0].frozen = !self.servers[0].frozen,
-            8 => self.restart_server(0),
-            9 => self.cut(0),
-            _ => self.restart_daemon(1),
-        }
-    }
-
     /// Returns whether every shard is owned now.
     pub fn is_served(&self) -> bool {
         let owned = |shard| (0..SERVERS).any(|s| self.owns(s, shard));
