--- /dev/null
+++ b/crates/oriolehoist_admission/src/gauge.rs
@@ -0,0 +1,123 @@
+use oriolehoist_time::Millis;
+
+/// The weight of a new measurement of the work in the running mean.
+const WORK_WEIGHT: f64 = 0.15;
+/// The time after which what a server said of its queue counts half.
+const REPORT_HALF_LIFE: Millis = Millis(400);
+/// How long a server that shed is taken as full, the first time; it doubles with each further one.
+const SHED_PAUSE: Millis = Millis(60);
+/// The longest such time.
+const LONGEST_SHED_PAUSE: Millis = Millis(480);
+/// What a request without an answer adds to the expected work, relative to the time it took.
+const LOST_WEIGHT: f64 = 0.5;
+
+/// What one daemon believes of the queue at one server.
+///
+/// The server's own figures count those of all daemons; what this daemon sent since is added, and
+/// the figures fade, as the requests of the others do.
+#[derive(Clone, Debug)]
+pub struct Gauge {
+    slots: f64,
+    mine: u32,
+    /// Requests of other daemons, when the server last told.
+    others: f64,
+    told_at: Millis,
+    /// The mean time that the server takes for a request, in milliseconds.
+    work: f64,
+    sheds: u32,
+    shed_until: Millis,
+}
+
+/// A request that is at a server.
+#[derive(Clone, Copy, Debug)]
+pub struct AtServer {
+    sent: Millis,
+    occupancy: f64,
+}
+
+/// How a request at a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AtServerEnd {
+    /// It was answered.
+    Answered,
+    /// The server refused to run it because it is full.
+    Shed,
+    /// There was no answer.
+    Lost,
+    /// It says nothing about the server.
+    Other,
+}
+
+impl Gauge {
+    /// Creates a gauge of a server that is expected to take `work` for a request.
+    pub fn new(slots: u32, work: Millis) -> Gauge {
+        Gauge {
+            slots: f64::from(slots.max(1)),
+            mine: 0,
+            others: 0.0,
+            told_at: Millis::ZERO,
+            work: work.0 as f64,
+            sheds: 0,
+            shed_until: Millis::ZERO,
+        }
+    }
+
+    /// Returns how many requests this daemon has at the server.
+    pub fn mine(&self) -> u32 {
+        self.mine
+    }
+
+    /// Notes that a request is sent.
+    pub fn on_sent(&mut self, now: Millis) -> AtServer {
+        let occupancy = self.occupancy(now);
+        self.mine += 1;
+        AtServer { sent: now, occupancy }
+    }
+
+    /// Notes how a request ended, and how many requests the server then said it had.
+    pub fn on_ended(&mut self, now: Millis, at: AtServer, end: AtServerEnd, told: Option<u32>) {
+        self.mine = self.mine.saturating_sub(1);
+        if let Some(told) = told {
+            self.others = f64::from(told.saturating_sub(self.mine + 1));
+            self.told_at = now;
+        }
+        let took = now.since(at.sent).0 as f64;
+        match end {
+            AtServerEnd::Answered => {
+                let turns = ((at.occupancy + 1.0) / self.slots).max(1.0);
+                self.work += WORK_WEIGHT * (took / turns - self.work);
+                self.sheds = 0;
+            }
+            AtServerEnd::Shed => {
+                self.sheds += 1;
+                let pause = SHED_PAUSE * (1 << self.sheds.min(4));
+                self.shed_until = now + pause.min(LONGEST_SHED_PAUSE);
+            }
+            AtServerEnd::Lost => {
+                self.work += WORK_WEIGHT * (took * LOST_WEIGHT).max(0.0);
+            }
+            AtServerEnd::Other => {}
+        }
+    }
+
+    /// Returns how long a request would wait there before it runs.
+    pub fn wait(&self, now: Millis) -> Millis {
+        let ahead = (self.occupancy(now) + 1.0 - self.slots).max(0.0);
+        Millis((ahead / self.slots * self.work) as u64).max(self.shed_until.since(now))
+    }
+
+    /// Returns how long a request would take there, the wait included.
+    pub fn expected(&self, now: Millis) -> Millis {
+        self.wait(now) + Millis(self.work as u64)
+    }
+
+    /// Returns the share of the slots that is taken.
+    pub fn utilisation(&self, now: Millis) -> f64 {
+        self.occupancy(now) / self.slots
+    }
+
+    fn occupancy(&self, now: Millis) -> f64 {
+        let halves = now.since(self.told_at).0 as f64 / REPORT_HALF_LIFE.0 as f64;
+        f64::from(self.mine) + self.others * 0.5_f64.powf(halves)
+    }
+}
--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod class;
 mod gate;
+mod gauge;
 mod limit;
 mod queue;
 mod retry;
@@ -25,6 +26,7 @@
 pub use {
     class::Class,
     gate::{Entry, Gate, GateLimits, GateRefusal, Leave, Turn},
+    gauge::{AtServer, AtServerEnd, Gauge},
     limit::AdaptiveLimit,
     queue::{ClassQueue, Ticket, Waiting},
     retry::RetryBudget,
--- a/crates/oriolehoist_admission/src/retry.rs
+++ b/crates/oriolehoist_admission/src/retry.rs
@@ -4,23 +4,29 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     hundredths: u64,
+    most: u64,
 }
 
 /// The cost of one retry, in hundredths.
 const COST: u64 = 100;
-/// The greatest saving: this many retries at once.
+/// The usual greatest saving: this many retries at once.
 const MOST_RETRIES: u64 = 10;
 
 impl Default for RetryBudget {
     fn default() -> RetryBudget {
-        RetryBudget { hundredths: MOST_RETRIES * COST }
+        RetryBudget::with_savings(MOST_RETRIES)
     }
 }
 
 impl RetryBudget {
+    /// Creates a budget that saves up to this many retries, and has saved them.
+    pub fn with_savings(retries: u64) -> RetryBudget {
+        RetryBudget { hundredths: retries * COST, most: retries * COST }
+    }
+
     /// Notes a first attempt, which earns `percent` hundredths of a retry.
     pub fn on_first_attempt(&mut self, percent: u64) {
-        self.hundredths = (self.hundredths + percent).min(MOST_RETRIES * COST);
+        self.hundredths = (self.hundredths + percent).min(self.most);
     }
 
     /// Spends one retry, if there is one.
--- /dev/null
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -0,0 +1,451 @@
+use {
+    crate::{
+        control::{
+            StoreClient,
+            assigner::Assigner,
+            election::stand,
+            knowledge::Knowledge,
+            message::{Candidacy, Input, Member, Stamp, Sync, SyncAnswer, Versions},
+            peers::send_sync,
+        },
+        process::Shared,
+    },
+    kameo::{
+        Actor,
+        actor::ActorRef,
+        message::{Context, Message},
+    },
+    oriolehoist_log::{Event, report},
+    oriolehoist_port::StoreCall,
+    oriolehoist_time::Millis,
+    std::sync::{Arc, atomic::Ordering},
+};
+
+/// Without a word of the assigner for this long, a daemon tries to become it.
+const SILENCE: Millis = Millis(900);
+/// How much longer each further daemon waits, so that they don't all try at once.
+const RANK_DELAY: Millis = Millis(60);
+/// The pause between two attempts to become the assigner.
+const CANDIDACY_PAUSE: Millis = Millis(250);
+/// Time between two messages to a peer.
+const SYNC_INTERVAL: Millis = Millis(200);
+/// How many messages a second the assigner sends to all peers together.
+const SYNCS_PER_SECOND: u64 = 100;
+
+/// The actor that holds all control state of a daemon.
+#[derive(Actor)]
+pub(crate) struct Control {
+    cx: Arc<Shared>,
+    store: Arc<StoreClient>,
+    me: Member,
+    pub(super) known: Knowledge,
+    role: Role,
+    started: Millis,
+    /// When the assigner was last heard.
+    heard_at: Millis,
+    heard: bool,
+    term: u64,
+}
+
+/// What the daemon is to the others.
+enum Role {
+    Follower {
+        next_try: Millis,
+    },
+    /// An attempt to become the assigner is under way.
+    Candidate,
+    Assigner(Box<Assigner>),
+}
+
+/// The daemon is to hand its role over and take no new one.
+pub(crate) struct Stop;
+
+/// The daemon is asked what it knows.
+pub(crate) struct AskKnowledge;
+
+/// Wraps a reply, so that any type can be one.
+#[derive(Debug, kameo::Reply)]
+pub(crate) struct Reply<T: Send + 'static>(pub(crate) T);
+
+impl Control {
+    pub(crate) fn new(cx: Arc<Shared>, store: Arc<StoreClient>, me: Member) -> Control {
+        let now = cx.clock.now();
+        Control {
+            cx,
+            store,
+            me,
+            known: Knowledge::default(),
+            role: Role::Follower { next_try: now },
+            started: now,
+            heard_at: Millis::ZERO,
+            heard: false,
+            term: 0,
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.cx.clock.now()
+    }
+
+    fn tick(&mut self, me: &ActorRef<Control>) {
+        let now = self.now();
+        match &mut self.role {
+            Role::Follower { next_try } => {
+                let rank = u64::from(self.me.instance.bytes().map(u32::from).sum::<u32>() % 8);
+                let silent = now.since(self.heard_at) > SILENCE + RANK_DELAY * rank;
+                if silent && self.heard {
+                    self.heard = false;
+                    report(Event::AssignerHeard, format_args!("heard=false term={}", self.term));
+                }
+                if silent && now >= *next_try && !self.cx.is_stopping() {
+                    self.role = Role::Candidate;
+                    let (store, clock) = (Arc::clone(&self.store), self.cx.clock);
+                    let (member, me) = (self.me.clone(), me.clone());
+                    tokio::spawn(async move {
+                        let candidacy = stand(&store, clock, &member).await;
+                        // The actor only ends with the process.
+                        let _ = me.tell(Input::Candidacy(candidacy)).await;
+                    });
+                }
+            }
+            Role::Candidate => {}
+            Role::Assigner(assigner) if !assigner.is_permitted(now) => {
+                self.step_down("the lease could not be renewed");
+            }
+            Role::Assigner(assigner) => {
+                let own = self.cx.take_key_counts();
+                assigner.on_load(now, &own);
+                let routes = assigner.tick(&self.cx, &self.store, me);
+                if routes != self.known.routes {
+                    let stamp = self.next_stamp(self.known.versions.routes);
+                    self.known.offer_routes(stamp, routes);
+                    self.known.publish(&self.cx);
+                }
+                self.sync_peers(me, false);
+            }
+        }
+        self.update_readiness();
+    }
+
+    fn update_readiness(&self) {
+        let ready = self.known.can_serve() && !self.cx.is_stopping();
+        if self.cx.ready.swap(ready, Ordering::Relaxed) != ready {
+            report(Event::Readiness, format_args!("ready={ready}"));
+        }
+    }
+
+    /// Returns the stamp of the next change of a matter under this daemon's term.
+    fn next_stamp(&self, stamp: Stamp) -> Stamp {
+        let count = if stamp.term == self.term { stamp.count + 1 } else { 1 };
+        Stamp { term: self.term, count }
+    }
+
+    /// Tells the peers what they lack, and that the assigner lives.
+    fn sync_peers(&mut self, me: &ActorRef<Control>, resigning: bool) {
+        let now = self.now();
+        let Role::Assigner(assigner) = &mut self.role else { return };
+        let peers = self.known.members.len() as u64;
+        let interval = SYNC_INTERVAL.max(Millis(peers * 1000 / SYNCS_PER_SECOND));
+        let versions = self.known.versions;
+        for member in self.known.members.iter().filter(|member| **member != self.me) {
+            let peer = assigner.peers.entry(member.instance.clone()).or_default();
+            let lacks = peer.versions != versions;
+            if peer.in_flight || (now < peer.next && !lacks && !resigning) {
+                continue;
+            }
+            let sync = Sync {
+                from: self.me.clone(),
+                term: self.term,
+                versions,
+                servers_age: now.since(self.known.servers_fresh_at),
+                resigning,
+                config: (peer.versions.config < versions.config)
+                    .then(|| self.known.config_bytes.clone()),
+                servers: (peer.versions.servers != versions.servers)
+                    .then(|| self.known.servers.clone()),
+                routes: (peer.versions.routes != versions.routes)
+                    .then(|| self.known.routes.clone()),
+                members: (peer.versions.members != versions.members)
+                    .then(|| self.known.members.clone()),
+            };
+            peer.in_flight = true;
+            peer.next = now + interval;
+            tokio::spawn(send_sync(Arc::clone(&self.cx), me.clone(), member.clone(), sync));
+        }
+    }
+
+    fn on_candidacy(&mut self, me: &ActorRef<Control>, candidacy: Candidacy) {
+        let now = self.now();
+        self.role = Role::Follower { next_try: now + CANDIDACY_PAUSE };
+        let Candidacy::Won { won, table } = candidacy else { return };
+        match Assigner::new(&self.cx, self.started, won, table, &self.known) {
+            Ok(assigner) if !self.cx.is_stopping() => {
+                self.term = won.term.0;
+                report(Event::TermWon, format_args!("term={}", self.term));
+                self.known.versions.servers = self.next_stamp(Stamp::default());
+                self.known.versions.members = self.next_stamp(Stamp::default());
+                self.role = Role::Assigner(Box::new(assigner));
+                self.tick(me);
+            }
+            Ok(_) => self.end_lease(won.lease),
+            Err(error) => {
+                report(Event::TermAttemptFailed, format_args!("table=\"{error}\""));
+                self.end_lease(won.lease);
+            }
+        }
+    }
+
+    fn end_lease(&self, lease: oriolehoist_port::LeaseId) {
+        let store = Arc::clone(&self.store);
+        tokio::spawn(async move {
+            // If it fails, the lease ends by itself.
+            let _ = store.call(StoreCall::EndLease(lease)).await;
+        });
+    }
+
+    fn step_down(&mut self, why: &str) {
+        if let Role::Assigner(assigner) = &self.role {
+            assigner.sender.revoke();
+            report(Event::TermLost, format_args!("term={} why=\"{why}\"", self.term));
+            self.role = Role::Follower { next_try: self.now() + CANDIDACY_PAUSE };
+            self.heard_at = self.now();
+        }
+    }
+
+    fn on_input(&mut self, me: &ActorRef<Control>, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Tick => self.tick(me),
+            Input::Config(bytes) => {
+                if self.known.offer_config(&self.cx, &bytes) {
+                    if let Role::Assigner(assigner) = &mut self.role {
+                        assigner.on_servers(now, &self.known, false);
+                    }
+                    self.known.publish(&self.cx);
+                    self.sync_peers(me, false);
+                }
+            }
+            Input::Servers { began, list } => {
+                let changed = self.known.offer_servers(began, list);
+                match &mut self.role {
+                    Role::Assigner(assigner) => {
+                        assigner.on_servers(now, &self.known, changed);
+                        if changed {
+                            let stamp = self.known.versions.servers;
+                            self.known.versions.servers = self.next_stamp(stamp);
+                        }
+                    }
+                    // The assigner's list is asked for again once it is heard.
+                    _ => self.known.versions.servers = Stamp::default(),
+                }
+                if changed {
+                    self.known.publish(&self.cx);
+                    self.tick(me);
+                }
+            }
+            Input::Members(members) => {
+                if members != self.known.members {
+                    self.known.members = members;
+                    let stamp = self.known.versions.members;
+                    self.known.versions.members = self.next_stamp(stamp);
+                    self.known.publish(&self.cx);
+                }
+            }
+            Input::Candidacy(candidacy) => self.on_candidacy(me, candidacy),
+            Input::Synced { to, answer } => {
+                let newer = answer.as_ref().and_then(|answer| answer.config.clone());
+                let higher = answer.as_ref().is_some_and(|answer| answer.term > self.term);
+                if let Role::Assigner(assigner) = &mut self.role {
+                    assigner.on_synced(now, &to, answer.as_ref());
+                }
+                if let Some(bytes) = newer {
+                    self.on_input(me, Input::Config(bytes));
+                }
+                if higher {
+                    self.step_down("a peer knows a higher term");
+                }
+            }
+            Input::LeaseKept { term, sent, answer } => {
+                self.with_term(term, "the lease has ended", |assigner| {
+                    assigner.on_lease_kept(now, sent, &answer)
+                });
+            }
+            Input::TableWritten { term, version, end } => {
+                self.with_term(term, "another daemon is the assigner", |assigner| {
+                    assigner.on_table_written(now, version, &end)
+                });
+                self.tick(me);
+            }
+            Input::OrderEnded { term, service, flight, end } => {
+                self.with_term(term, "", |assigner| {
+                    assigner.on_order_ended(now, &service, flight, &end);
+                    true
+                });
+                self.tick(me);
+            }
+        }
+    }
+
+    /// Lets the assigner of `term` act, and steps down if it says that it no longer is.
+    fn with_term(
+        &mut self,
+        term: oriolehoist_port::Revision,
+        why: &str,
+        act: impl FnOnce(&mut Assigner) -> bool,
+    ) {
+        let goes_on = match &mut self.role {
+            Role::Assigner(assigner) if assigner.won.term == term => act(assigner),
+            _ => true,
+        };
+        if !goes_on {
+            self.step_down(why);
+        }
+    }
+
+    fn on_sync(&mut self, sync: Sync) -> SyncAnswer {
+        let now = self.now();
+        if sync.term >= self.term && sync.from != self.me {
+            if sync.term > self.term {
+                self.step_down("another daemon is the assigner");
+            }
+            self.term = sync.term;
+            if !self.heard {
+                self.heard = true;
+                let (term, from) = (sync.term, &sync.from.instance);
+                report(Event::AssignerHeard, format_args!("heard=true term={term} from={from}"));
+            }
+            self.heard_at = if sync.resigning { Millis::ZERO } else { now };
+            self.learn(now, sync);
+        }
+        let lacks = Versions { config: 0, ..self.known.versions };
+        SyncAnswer {
+            incarnation: self.cx.incarnation,
+            term: self.term,
+            versions: Versions { config: self.known.versions.config, ..lacks },
+            config: None,
+            load: self.cx.take_key_counts(),
+        }
+    }
+
+    fn learn(&mut self, now: Millis, sync: Sync) {
+        let mut changed = false;
+        if let Some(bytes) = &sync.config {
+            changed |= self.known.offer_config(&self.cx, bytes);
+        }
+        let fresh_at = Millis(now.0.saturating_sub(sync.servers_age.0));
+        if let Some(list) = sync.servers {
+            changed |= self.known.offer_servers(fresh_at, list);
+            self.known.versions.servers = sync.versions.servers;
+        } else if self.known.versions.servers == sync.versions.servers {
+            self.known.servers_fresh_at = self.known.servers_fresh_at.max(fresh_at);
+        }
+        if let Some(routes) = sync.routes {
+            changed |= self.known.offer_routes(sync.versions.routes, routes);
+        }
+        if let Some(members) = sync.members {
+            changed |= self.known.members != members;
+            self.known.members = members;
+            self.known.versions.members = sync.versions.members;
+        }
+        if changed {
+            self.known.publish(&self.cx);
+        }
+        self.update_readiness();
+    }
+
+    /// Returns everything that this daemon knows, as a message to a peer that starts.
+    fn knowledge(&self) -> Sync {
+        let known = &self.known;
+        Sync {
+            from: self.me.clone(),
+            term: self.term,
+            versions: known.versions,
+            servers_age: self.now().since(known.servers_fresh_at),
+            resigning: false,
+            config: known.config.as_ref().map(|_| known.config_bytes.clone()),
+            servers: Some(known.servers.clone()),
+            routes: Some(known.routes.clone()),
+            members: Some(known.members.clone()),
+        }
+    }
+
+    /// Returns whether this daemon reads the servers in the store itself: as the assigner, or
+    /// because what the assigner said has grown old.
+    fn reads_servers(&self) -> bool {
+        let old = self.now().since(self.known.servers_fresh_at) > SILENCE;
+        matches!(self.role, Role::Assigner(_)) || old
+    }
+}
+
+impl Message<Input> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, input: Input, cx: &mut Context<Self, ()>) {
+        let me = cx.actor_ref();
+        self.on_input(&me, input);
+    }
+}
+
+impl Message<Sync> for Control {
+    type Reply = Reply<SyncAnswer>;
+
+    async fn handle(&mut self, sync: Sync, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let offered = sync.versions.config;
+        let mut answer = self.on_sync(sync);
+        if self.known.versions.config > offered {
+            answer.config = Some(self.known.config_bytes.clone());
+        }
+        Reply(answer)
+    }
+}
+
+impl Message<AskKnowledge> for Control {
+    type Reply = Reply<Sync>;
+
+    async fn handle(&mut self, _: AskKnowledge, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        Reply(self.knowledge())
+    }
+}
+
+/// The reader of the servers asks whether it is needed, and whether as the assigner's.
+pub(crate) struct AskReading;
+
+impl Message<AskReading> for Control {
+    type Reply = Reply<Reading>;
+
+    async fn handle(&mut self, _: AskReading, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        Reply(Reading {
+            servers: self.reads_servers(),
+            members: matches!(self.role, Role::Assigner(_)),
+            config: self.known.config.is_some(),
+        })
+    }
+}
+
+/// What a daemon reads in the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reading {
+    pub(crate) servers: bool,
+    pub(crate) members: bool,
+    /// Whether there is a configuration.
+    pub(crate) config: bool,
+}
+
+impl Message<Stop> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Stop, cx: &mut Context<Self, ()>) {
+        let me = cx.actor_ref();
+        self.update_readiness();
+        if let Role::Assigner(assigner) = &self.role {
+            let lease = assigner.lease();
+            assigner.sender.revoke();
+            // What is on its way ends before the next assigner gives orders.
+            tokio::time::sleep(std::time::Duration::from(oriolehoist_keyspace::ORDER_TIMEOUT))
+                .await;
+            let _ = self.store.call(StoreCall::EndLease(lease)).await;
+            self.sync_peers(&me, true);
+            self.step_down("the daemon is stopping");
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_edge/src/control/election.rs
@@ -0,0 +1,99 @@
+//! Becoming the assigner: whoever holds the assigner's key in the store.
+
+use {
+    crate::control::{
+        message::{Candidacy, Member, Won},
+        store::StoreClient,
+    },
+    bytes::Bytes,
+    oriolehoist_port::{Commit, LeaseId, Revision, StoreAnswer, StoreCall},
+    oriolehoist_time::{Clock, Millis},
+    serde::{Deserialize, Serialize},
+};
+
+/// The key whose holder is the assigner.
+pub(crate) const ASSIGNER_KEY: &str = "oriolehoist/assigner";
+/// The key of the table of owners.
+pub(crate) const TABLE_KEY: &str = "oriolehoist/table";
+/// The prefix of the members' keys.
+pub(crate) const MEMBERS_PREFIX: &str = "oriolehoist/members/";
+/// How long the assigner's lease lasts without a renewal. A grant outlasts it, so that another
+/// daemon can take over before one lapses.
+pub(crate) const ASSIGNER_LEASE: Millis = Millis(2000);
+/// The longest wait for the end of another daemon's lease, before looking again.
+const WATCH_WAIT: Millis = Millis(3000);
+
+/// What the assigner's key holds.
+#[derive(Debug, Serialize, Deserialize)]
+struct Holder {
+    member: Member,
+    lease: LeaseId,
+}
+
+/// Tries to become the assigner: at once if nobody is, or after the present one's lease has ended.
+pub(crate) async fn stand(store: &StoreClient, clock: Clock, me: &Member) -> Candidacy {
+    let found = store.call(StoreCall::Get(ASSIGNER_KEY.into())).await;
+    match found {
+        Ok(StoreAnswer::Item(None)) => take(store, clock, me).await,
+        Ok(StoreAnswer::Item(Some(item))) => {
+            let holder = serde_json::from_slice::<Holder>(&item.value);
+            let earlier_life = holder.ok().filter(|holder| {
+                holder.member.instance == me.instance && holder.member.incarnation != me.incarnation
+            });
+            match earlier_life {
+                Some(holder) => {
+                    // An earlier life of this daemon gives no orders any more.
+                    let ended = store.call(StoreCall::EndLease(holder.lease)).await;
+                    match ended {
+                        Ok(_) => take(store, clock, me).await,
+                        Err(_) => Candidacy::Lost,
+                    }
+                }
+                None => {
+                    let prefix = ASSIGNER_KEY.into();
+                    let call = StoreCall::Watch { prefix, after: item.revision, wait: WATCH_WAIT };
+                    // Whatever it says, the next candidacy reads the key.
+                    let _ = store.call(call).await;
+                    Candidacy::Lost
+                }
+            }
+        }
+        _ => Candidacy::Lost,
+    }
+}
+
+async fn take(store: &StoreClient, clock: Clock, me: &Member) -> Candidacy {
+    let sent = clock.now();
+    let opened = store.call(StoreCall::OpenLease(ASSIGNER_LEASE)).await;
+    let Ok(StoreAnswer::Lease { id: Some(lease), length }) = opened else {
+        return Candidacy::Lost;
+    };
+    let holder = Holder { member: me.clone(), lease };
+    let Ok(value) = serde_json::to_vec(&holder) else { return Candidacy::Lost };
+    let commit = Commit::default().expect(ASSIGNER_KEY, Revision::ABSENT).put(
+        ASSIGNER_KEY,
+        value,
+        Some(lease),
+    );
+    // Without an answer the write may take effect; the key then ends with its lease, unused.
+    let Ok(StoreAnswer::Committed(term)) = store.call(StoreCall::Commit(commit)).await else {
+        return Candidacy::Lost;
+    };
+    let won = Won { term, lease, until: sent + length };
+    match read_table(store).await {
+        Some(table) => Candidacy::Won { won, table },
+        None => {
+            // Without the table nothing may be granted; another daemon may have more luck.
+            let _ = store.call(StoreCall::EndLease(lease)).await;
+            Candidacy::Lost
+        }
+    }
+}
+
+/// Reads the table; `None` if the store does not answer.
+async fn read_table(store: &StoreClient) -> Option<Option<(Revision, Bytes)>> {
+    match store.call(StoreCall::Get(TABLE_KEY.into())).await {
+        Ok(StoreAnswer::Item(item)) => Some(item.map(|item| (item.revision, item.value))),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -0,0 +1,20 @@
+//! What runs on the control thread: what the daemon believes, and the assigner's role.
+
+mod actor;
+mod assigner;
+mod election;
+mod knowledge;
+mod message;
+mod orders;
+mod peers;
+mod servers;
+mod store;
+mod tasks;
+
+pub(crate) use {
+    actor::{Control, Stop},
+    message::Member,
+    peers::{control_router, readiness_router},
+    store::StoreClient,
+    tasks::spawn_tasks,
+};
--- /dev/null
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -0,0 +1,137 @@
+//! Messages between daemons, and the two listeners of the control thread.
+
+use {
+    crate::{
+        connection::{CallError, Link, Sent},
+        control::{
+            actor::{AskKnowledge, Control, Reply},
+            message::{Input, Member, Sync, SyncAnswer},
+        },
+        process::Shared,
+    },
+    axum::{
+        Router,
+        body::Bytes,
+        extract::{DefaultBodyLimit, State},
+        http::StatusCode,
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    http::{HeaderMap, HeaderValue, Method, header},
+    kameo::actor::ActorRef,
+    oriolehoist_http1::encode_request,
+    oriolehoist_log::{Event, report},
+    oriolehoist_time::Millis,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// The largest message between daemons, in bytes.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// The longest wait for a peer's answer.
+const ANSWER_WAIT: Millis = Millis(500);
+/// The longest wait for a connection to a peer.
+const CONNECT_WAIT: Millis = Millis(250);
+
+/// The routes at the peers' address.
+pub(crate) fn control_router(cx: Arc<Shared>, control: ActorRef<Control>) -> Router {
+    Router::new()
+        .route("/sync", post(sync))
+        .route("/knowledge", post(knowledge))
+        .route("/metrics", get(metrics))
+        .layer(DefaultBodyLimit::max(MAX_MESSAGE_BYTES))
+        .with_state((cx, control))
+}
+
+/// The route at the balancer's address.
+pub(crate) fn readiness_router(cx: Arc<Shared>) -> Router {
+    let path = cx.platform.readiness_path();
+    Router::new().route(path, get(ready)).with_state(cx)
+}
+
+type Cx = State<(Arc<Shared>, ActorRef<Control>)>;
+
+async fn ready(State(cx): State<Arc<Shared>>) -> StatusCode {
+    match cx.ready.load(Ordering::Relaxed) && !cx.is_stopping() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn metrics(State((cx, _)): Cx) -> Response {
+    match cx.metrics.render() {
+        Ok(text) => text.into_response(),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+    }
+}
+
+async fn sync(State((_, control)): Cx, body: Bytes) -> Response {
+    match rmp_serde::from_slice::<Sync>(&body) {
+        Ok(message) => answer(control.ask(message).await.ok()),
+        Err(error) => {
+            report(Event::PeerMalformed, format_args!("error=\"{error}\""));
+            StatusCode::BAD_REQUEST.into_response()
+        }
+    }
+}
+
+async fn knowledge(State((_, control)): Cx) -> Response {
+    answer(control.ask(AskKnowledge).await.ok())
+}
+
+fn answer<T: Serialize + Send>(reply: Option<Reply<T>>) -> Response {
+    match reply.map(|Reply(reply)| rmp_serde::to_vec_named(&reply)) {
+        Some(Ok(bytes)) => bytes.into_response(),
+        _ => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
+
+/// Tells a peer what it lacks, and the actor what it answered.
+pub(crate) async fn send_sync(cx: Arc<Shared>, control: ActorRef<Control>, to: Member, sync: Sync) {
+    let answer = ask::<SyncAnswer>(&cx, to.address, "/sync", &sync).await;
+    // The actor only ends with the process.
+    let _ = control.tell(Input::Synced { to, answer }).await;
+}
+
+/// Asks a daemon for everything that it knows.
+pub(crate) async fn ask_knowledge(cx: &Shared, address: SocketAddr) -> Option<Sync> {
+    ask(cx, address, "/knowledge", &()).await
+}
+
+/// Sends a message to a daemon. Without an answer the cause is with the peer's silence: the caller
+/// tries again or does without.
+async fn ask<T: DeserializeOwned>(
+    cx: &Shared,
+    address: SocketAddr,
+    path: &str,
+    message: &(impl Serialize + std::marker::Sync),
+) -> Option<T> {
+    let body = rmp_serde::to_vec_named(message).ok()?;
+    let mut headers = HeaderMap::new();
+    headers.insert(header::HOST, HeaderValue::from_str(&address.to_string()).ok()?);
+    let request = encode_request(&Method::POST, path, &headers, &body);
+    let exchange = async {
+        let mut link = match cx.take_peer_link(address) {
+            Some(link) => link,
+            None => Link::open(cx.source(), address, CONNECT_WAIT).await?,
+        };
+        let mut sent = Sent::Nothing;
+        let answered = link.call(&Method::POST, request, None, &mut sent).await?;
+        if answered.reusable {
+            cx.keep_peer_link(address, link);
+        }
+        Ok::<_, CallError>(answered.answer)
+    };
+    let answer = timeout(Duration::from(ANSWER_WAIT), exchange).await.ok()?.ok()?;
+    match answer.status {
+        200 => rmp_serde::from_slice(&answer.body)
+            .inspect_err(|error| report(Event::PeerMalformed, format_args!("error=\"{error}\"")))
+            .ok(),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -0,0 +1,237 @@
+//! The loops that feed the control actor: time, and what is read in the store.
+
+use {
+    crate::{
+        control::{
+            Control, StoreClient,
+            actor::{AskReading, Reading, Reply},
+            election::MEMBERS_PREFIX,
+            message::{Input, Member},
+            peers::ask_knowledge,
+            servers::ServerReader,
+        },
+        process::Shared,
+    },
+    kameo::actor::ActorRef,
+    oriolehoist_port::{Change, Commit, Item, LeaseId, Revision, StoreAnswer, StoreCall},
+    oriolehoist_time::Millis,
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    tokio::time::{MissedTickBehavior, interval, sleep},
+};
+
+/// Time between ticks of the decisions.
+const TICK: Duration = Duration::from_millis(25);
+/// The longest wait of a watch of what changes seldom.
+const WATCH_WAIT: Millis = Millis::from_secs(20);
+/// The pause after a call that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// The pause between two readings of the servers, so that their many writes come in batches.
+const SERVERS_PAUSE: Duration = Duration::from_millis(400);
+/// How often a reader that is not needed looks whether it is.
+const IDLE_PAUSE: Duration = Duration::from_millis(50);
+/// How long a member's entry outlives its daemon.
+const MEMBER_LEASE: Millis = Millis::from_secs(15);
+/// Time between renewals of a member's entry.
+const MEMBER_INTERVAL: Duration = Duration::from_millis(4000);
+/// How long a starting daemon waits for the store before it asks its seeds.
+const SEEDS_AFTER: Duration = Duration::from_millis(700);
+
+/// Starts the loops.
+pub(crate) fn spawn_tasks(
+    cx: &Arc<Shared>,
+    store: &Arc<StoreClient>,
+    control: &ActorRef<Control>,
+    me: &Member,
+) {
+    let feed = Feed { cx: Arc::clone(cx), store: Arc::clone(store), control: control.clone() };
+    tokio::spawn(feed.clone().tick());
+    tokio::spawn(feed.clone().follow_config());
+    tokio::spawn(feed.clone().follow_servers());
+    tokio::spawn(feed.clone().follow_members());
+    tokio::spawn(feed.clone().register(me.clone()));
+    tokio::spawn(feed.ask_seeds());
+}
+
+#[derive(Clone)]
+struct Feed {
+    cx: Arc<Shared>,
+    store: Arc<StoreClient>,
+    control: ActorRef<Control>,
+}
+
+impl Feed {
+    async fn tell(&self, input: Input) {
+        // The actor only ends with the process.
+        let _ = self.control.tell(input).await;
+    }
+
+    async fn reading(&self) -> Option<Reading> {
+        self.control.ask(AskReading).await.ok().map(|Reply(reading)| reading)
+    }
+
+    async fn tick(self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        loop {
+            ticks.tick().await;
+            self.tell(Input::Tick).await;
+        }
+    }
+
+    /// Follows the operators' configuration: reads it, and waits for the next change.
+    async fn follow_config(self) {
+        let key = self.cx.platform.configuration_key();
+        let mut after = None;
+        loop {
+            let Some(revision) = after else {
+                match self.store.call(StoreCall::Get(key.into())).await {
+                    Ok(StoreAnswer::Item(Some(item))) => {
+                        after = Some(item.revision);
+                        self.tell(Input::Config(item.value)).await;
+                    }
+                    _ => sleep(FAILURE_PAUSE).await,
+                }
+                continue;
+            };
+            let call = StoreCall::Watch { prefix: key.into(), after: revision, wait: WATCH_WAIT };
+            match self.store.call(call).await {
+                Ok(StoreAnswer::Changes { changes, at }) => {
+                    for change in changes {
+                        if let Change::Written(item) = change {
+                            self.tell(Input::Config(item.value)).await;
+                        }
+                    }
+                    after = Some(at.max(revision));
+                }
+                Ok(_) => after = None,
+                Err(_) => {
+                    // A change may have been missed: read it anew.
+                    after = None;
+                    sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Reads the servers while this daemon is the assigner, or hears nothing of it.
+    async fn follow_servers(self) {
+        let mut reader = ServerReader::default();
+        loop {
+            let needed = self.reading().await.is_some_and(|reading| reading.servers);
+            if !needed {
+                reader.restart();
+                sleep(IDLE_PAUSE).await;
+                continue;
+            }
+            let began = self.cx.clock.now();
+            let clock = self.cx.clock;
+            let platform = self.cx.platform.as_ref();
+            match reader.read(&self.store, platform, || clock.now()).await {
+                Ok(list) => {
+                    self.tell(Input::Servers { began, list }).await;
+                    sleep(SERVERS_PAUSE).await;
+                }
+                Err(_) => sleep(FAILURE_PAUSE).await,
+            }
+        }
+    }
+
+    /// Follows the members while this daemon is the assigner.
+    async fn follow_members(self) {
+        let mut members: BTreeMap<String, Member> = BTreeMap::new();
+        let mut after = None;
+        loop {
+            if !self.reading().await.is_some_and(|reading| reading.members) {
+                after = None;
+                sleep(IDLE_PAUSE).await;
+                continue;
+            }
+            let prefix = MEMBERS_PREFIX.to_owned();
+            let call = match after {
+                None => StoreCall::List { prefix, after: None },
+                Some(after) => StoreCall::Watch { prefix, after, wait: Millis(5000) },
+            };
+            match self.store.call(call).await {
+                Ok(StoreAnswer::Page { items, at, .. }) => {
+                    members.clear();
+                    members.extend(items.into_iter().filter_map(member));
+                    after = Some(at);
+                }
+                Ok(StoreAnswer::Changes { changes, at }) => {
+                    for change in changes {
+                        match change {
+                            Change::Written(item) => members.extend(member(item)),
+                            Change::Removed(key) => drop(members.remove(&key)),
+                        }
+                    }
+                    after = Some(at.max(after.unwrap_or_default()));
+                }
+                Ok(_) => {
+                    after = None;
+                    continue;
+                }
+                Err(_) => {
+                    after = None;
+                    sleep(FAILURE_PAUSE).await;
+                    continue;
+                }
+            }
+            self.tell(Input::Members(members.values().cloned().collect())).await;
+        }
+    }
+
+    /// Keeps this daemon's entry among the members.
+    async fn register(self, me: Member) {
+        let key = format!("{MEMBERS_PREFIX}{}", me.instance);
+        let Ok(value) = serde_json::to_vec(&me) else { return };
+        let mut lease: Option<LeaseId> = None;
+        loop {
+            let Some(id) = lease else {
+                lease = self.enter(&key, &value).await;
+                if lease.is_none() {
+                    sleep(FAILURE_PAUSE).await;
+                }
+                continue;
+            };
+            sleep(MEMBER_INTERVAL).await;
+            match self.store.call(StoreCall::KeepLease(id)).await {
+                Ok(StoreAnswer::Lease { .. }) => {}
+                Ok(_) => lease = None,
+                Err(_) => sleep(FAILURE_PAUSE).await,
+            }
+        }
+    }
+
+    async fn enter(&self, key: &str, value: &[u8]) -> Option<LeaseId> {
+        let opened = self.store.call(StoreCall::OpenLease(MEMBER_LEASE)).await;
+        let Ok(StoreAnswer::Lease { id: Some(lease), .. }) = opened else { return None };
+        let commit = Commit::default().put(key, value.to_vec(), Some(lease));
+        match self.store.call(StoreCall::Commit(commit)).await {
+            Ok(StoreAnswer::Committed(Revision(_))) => Some(lease),
+            _ => None,
+        }
+    }
+
+    /// Asks the seeds for what they know while the store does not answer a daemon that starts.
+    async fn ask_seeds(self) {
+        loop {
+            sleep(SEEDS_AFTER).await;
+            if self.reading().await.is_none_or(|reading| reading.config) {
+                return;
+            }
+            for seed in &self.cx.boot.seeds {
+                if *seed == self.cx.boot.peers {
+                    continue;
+                }
+                if let Some(sync) = ask_knowledge(&self.cx, *seed).await {
+                    // The actor only ends with the process.
+                    let _ = self.control.ask(sync).await;
+                }
+            }
+        }
+    }
+}
+
+fn member(item: Item) -> Option<(String, Member)> {
+    serde_json::from_slice(&item.value).ok().map(|member| (item.key, member))
+}
--- /dev/null
+++ b/crates/oriolehoist_edge/src/process/mod.rs
@@ -0,0 +1,11 @@
+//! What lives as long as the process.
+
+mod daemon;
+mod metrics;
+mod shared;
+
+pub use daemon::run;
+pub(crate) use {
+    metrics::Metrics,
+    shared::{Incarnation, Shared},
+};
--- /dev/null
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -0,0 +1,156 @@
+use {
+    crate::{connection::Link, process::Metrics, version::ViewCell},
+    oriolehoist_admission::RetryBudget,
+    oriolehoist_keyspace::{BUCKET_KEYS, LoadReport},
+    oriolehoist_port::{Boot, CallerLimits, Platform},
+    oriolehoist_time::{Clock, Millis},
+    serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::{IpAddr, SocketAddr},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        },
+    },
+};
+
+/// Identifies one life of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Incarnation(pub(crate) u64);
+
+/// How long after the request to stop idle connections of callers stay open, so that the balancer
+/// has stopped sending new ones.
+const KEEP_IDLE_OPEN: Millis = Millis(2200);
+/// The part of the agreed retries that is used; the rest covers uneven shares of the traffic.
+const RETRY_MARGIN: f64 = 0.7;
+
+/// How long an idle connection to a peer is used again.
+const PEER_IDLE_TIMEOUT: Millis = Millis(3000);
+
+/// What every thread of a daemon shares.
+pub(crate) struct Shared {
+    pub(crate) clock: Clock,
+    pub(crate) boot: Boot,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) metrics: Metrics,
+    pub(crate) view: ViewCell,
+    pub(crate) ready: AtomicBool,
+    stopping: AtomicBool,
+    stopping_since: AtomicU64,
+    connections: AtomicUsize,
+    retries: Mutex<HashMap<SmolStr, RetryBudget>>,
+    key_counts: Mutex<BTreeMap<SmolStr, HashMap<u16, u32>>>,
+    peer_links: Mutex<HashMap<SocketAddr, (Millis, Link)>>,
+}
+
+impl Shared {
+    pub(crate) fn new(boot: Boot, platform: Arc<dyn Platform>) -> eyre::Result<Shared> {
+        Ok(Shared {
+            clock: Clock::start(),
+            boot,
+            platform,
+            incarnation: Incarnation(fastrand::u64(1..)),
+            metrics: Metrics::new()?,
+            view: ViewCell::default(),
+            ready: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            stopping_since: AtomicU64::new(0),
+            connections: AtomicUsize::new(0),
+            retries: Mutex::default(),
+            key_counts: Mutex::default(),
+            peer_links: Mutex::default(),
+        })
+    }
+
+    /// Returns the address from which this daemon connects to others.
+    pub(crate) fn source(&self) -> IpAddr {
+        self.boot.peers.ip()
+    }
+
+    /// Takes the open connection to a peer, if it can still be used.
+    pub(crate) fn take_peer_link(&self, address: SocketAddr) -> Option<Link> {
+        let (since, link) = lock(&self.peer_links).remove(&address)?;
+        let fresh = self.clock.now().since(since) < PEER_IDLE_TIMEOUT;
+        (fresh && link.is_quiet()).then_some(link)
+    }
+
+    pub(crate) fn keep_peer_link(&self, address: SocketAddr, link: Link) {
+        lock(&self.peer_links).insert(address, (self.clock.now(), link));
+    }
+
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        self.view.load().map_or_else(CallerLimits::default, |view| view.config.limits)
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn stop(&self) {
+        self.stopping_since.store(self.clock.now().0, Ordering::Relaxed);
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that a connection of a caller was opened.
+    pub(crate) fn on_connection_opened(&self) {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes that a connection of a caller ended.
+    pub(crate) fn on_connection_ended(&self) {
+        self.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns how many connections of callers are open.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the balancer had time to notice that this daemon is stopping.
+    pub(crate) fn may_close_idle(&self) -> bool {
+        let since = Millis(self.stopping_since.load(Ordering::Relaxed));
+        self.clock.now().since(since) >= KEEP_IDLE_OPEN
+    }
+
+    /// Notes a request to a service, which earns a part of a retry.
+    pub(crate) fn on_first_offer(&self, service: &SmolStr) {
+        let percent = (self.boot.bounds.retry_ratio * 100.0 * RETRY_MARGIN) as u64;
+        self.with_retries(service, |budget| budget.on_first_attempt(percent));
+    }
+
+    /// Spends one retry of this daemon's share, if there is one.
+    pub(crate) fn try_spend_retry(&self, service: &SmolStr) -> bool {
+        self.with_retries(service, RetryBudget::try_spend)
+    }
+
+    fn with_retries<T>(&self, service: &SmolStr, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let daemons = self.view.load().map_or(1, |view| view.daemons.max(1)) as f64;
+        let savings = f64::from(self.boot.bounds.retry_slack) * RETRY_MARGIN / daemons;
+        let mut retries = lock(&self.retries);
+        let new = || RetryBudget::with_savings((savings as u64).max(1));
+        f(retries.entry(service.clone()).or_insert_with(new))
+    }
+
+    /// Counts a request for a key.
+    pub(crate) fn count_key(&self, service: &SmolStr, key: u16) {
+        let bucket = key / BUCKET_KEYS as u16;
+        let mut counts = lock(&self.key_counts);
+        *counts.entry(service.clone()).or_default().entry(bucket).or_default() += 1;
+    }
+
+    /// Takes what was counted since the last time.
+    pub(crate) fn take_key_counts(&self) -> Vec<(SmolStr, LoadReport)> {
+        let counts = std::mem::take(&mut *lock(&self.key_counts));
+        let report = |buckets: HashMap<u16, u32>| LoadReport(buckets.into_iter().collect());
+        counts.into_iter().map(|(service, buckets)| (service, report(buckets))).collect()
+    }
+}
+
+/// Locks a mutex whose holders leave the data whole even if they panic.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -0,0 +1,178 @@
+use {
+    crate::{
+        connection::Backend,
+        process::Shared,
+        request::{
+            exchange::{Offered, offer},
+            refuse::Refusal,
+            respond::JobView,
+            select::{Choice, select},
+        },
+    },
+    bytes::Bytes,
+    http::{HeaderMap, HeaderValue, Method},
+    oriolehoist_port::{HttpAnswer, Route},
+    oriolehoist_refusal::Kind,
+    oriolehoist_time::Millis,
+    smol_str::SmolStr,
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// The longest wait for keys that are being moved: the work that is running there has to end.
+const MOVE_WAIT: Millis = Millis(500);
+/// The longest wait for a newer view after a server said that it does not hold the key.
+const STALE_WAIT: Millis = Millis(250);
+/// How often one request may find its key with another server than the view said.
+const MAX_STALE: u32 = 3;
+/// How often a request is offered to a server that can't be reached.
+const MAX_UNSENT: u32 = 2;
+/// When to come back if nothing better is known.
+const SOON: Millis = Millis(100);
+
+/// A request on its way.
+pub(crate) struct Job {
+    pub(crate) id: HeaderValue,
+    pub(crate) method: Method,
+    pub(crate) target: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Millis,
+    /// When the caller or the route gives up.
+    pub(crate) deadline: Millis,
+    /// Until when an answer has its full value.
+    pub(crate) objective: Millis,
+    /// The key, for a service that is split by key.
+    pub(crate) key: Option<u16>,
+    pub(crate) service: SmolStr,
+    pub(crate) route: Route,
+    pub(crate) view: JobView,
+    /// How often it was sent to a server.
+    pub(crate) offers: u32,
+    pub(crate) last_server: SmolStr,
+}
+
+/// How a request ended.
+pub(crate) enum Outcome {
+    Answered(HttpAnswer),
+    Refused(Refusal),
+}
+
+/// Takes a request to a server and brings its answer back.
+pub(crate) async fn forward(cx: &Arc<Shared>, job: &mut Job) -> Outcome {
+    cx.on_first_offer(&job.service);
+    if let Some(key) = job.key {
+        cx.count_key(&job.service, key);
+    }
+    let mut tried: Vec<SmolStr> = Vec::new();
+    let mut stale = 0;
+    let mut unsent = 0;
+    loop {
+        let backend = match choose(cx, job, &tried).await {
+            Ok(backend) => backend,
+            Err(refusal) => return Outcome::Refused(refusal),
+        };
+        if let Some(refusal) = too_late(cx, job, &backend) {
+            return Outcome::Refused(refusal);
+        }
+        if job.offers > 0 && !cx.try_spend_retry(&job.service) {
+            return Outcome::Refused(Refusal::new(
+                Kind::ServerRefused,
+                "the retry budget is spent",
+            ));
+        }
+        let again = !tried.contains(&backend.life.id);
+        if again && tried.len() as u32 >= job.route.attempts {
+            return Outcome::Refused(Refusal::new(Kind::ServerRefused, "attempts of the route"));
+        }
+        let mut changes = cx.view.subscribe();
+        let offered = offer(cx, job, &backend).await;
+        job.last_server = backend.life.id.clone();
+        if !matches!(offered, Offered::Unsent) {
+            job.offers += 1;
+            if again {
+                tried.push(backend.life.id.clone());
+            }
+        }
+        let may_repeat = job.route.repeatable && cx.clock.now() < job.deadline;
+        match offered {
+            Offered::Answered(answer) => return Outcome::Answered(answer),
+            Offered::Shed if job.key.is_none() && job.route.attempts > tried.len() as u32 => {}
+            Offered::Shed => {
+                let wait = backend.gauge().wait(cx.clock.now()).max(SOON);
+                let refusal = Refusal::new(Kind::Overloaded, "the server is full");
+                return Outcome::Refused(refusal.come_back(wait));
+            }
+            Offered::NotOwner if stale < MAX_STALE => {
+                stale += 1;
+                let wait = STALE_WAIT.min(job.deadline.since(cx.clock.now()));
+                // Without a newer view the same server is asked once more: it may just have been
+                // granted the key.
+                let _ = timeout(Duration::from(wait), changes.changed()).await;
+                tried.pop();
+            }
+            Offered::NotOwner => {
+                let refusal = Refusal::new(Kind::NoOwner, "no server holds the key");
+                return Outcome::Refused(refusal.come_back(STALE_WAIT));
+            }
+            Offered::Unsent if unsent < MAX_UNSENT => {
+                unsent += 1;
+                if job.key.is_some() {
+                    let wait = SOON.min(job.deadline.since(cx.clock.now()));
+                    let _ = timeout(Duration::from(wait), changes.changed()).await;
+                }
+            }
+            Offered::Unsent => {
+                return Outcome::Refused(Refusal::new(Kind::Unreachable, "no connection"));
+            }
+            Offered::Lost(_) if may_repeat => {}
+            Offered::Lost(why) => {
+                return Outcome::Refused(Refusal::new(Kind::OutcomeUnknown, why));
+            }
+            Offered::TimedOut => {
+                let refusal = Refusal::new(Kind::OutcomeUnknown, "the deadline passed");
+                return Outcome::Refused(refusal);
+            }
+        }
+        job.refresh(cx);
+    }
+}
+
+/// Chooses a server, after waiting for keys that are being moved.
+async fn choose(
+    cx: &Arc<Shared>,
+    job: &mut Job,
+    tried: &[SmolStr],
+) -> Result<Arc<Backend>, Refusal> {
+    let started = cx.clock.now();
+    loop {
+        let mut changes = cx.view.subscribe();
+        job.refresh(cx);
+        match select(cx, job, tried) {
+            Choice::Server(backend) => return Ok(backend),
+            Choice::Refuse(refusal) => return Err(refusal),
+            Choice::Wait => {}
+        }
+        let until = (started + MOVE_WAIT).min(job.objective);
+        let left = until.since(cx.clock.now());
+        if timeout(Duration::from(left), changes.changed()).await.is_err() {
+            return Err(Refusal::new(Kind::NoOwner, "the key is being moved").come_back(SOON));
+        }
+    }
+}
+
+/// Refuses a request at once that the server could not finish in time.
+fn too_late(cx: &Shared, job: &Job, backend: &Backend) -> Option<Refusal> {
+    let now = cx.clock.now();
+    let wait = backend.gauge().wait(now);
+    let refuse = |rule| {
+        let come_back = wait.max(SOON);
+        Some(Refusal::new(Kind::Overloaded, rule).come_back(come_back))
+    };
+    match () {
+        () if now >= job.deadline => refuse("the deadline has passed"),
+        () if now + wait > job.deadline => refuse("the server's queue is longer than the deadline"),
+        () if backend.is_at_share() => refuse("this daemon's share of the server is in use"),
+        () => None,
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_edge/src/request/mod.rs
@@ -0,0 +1,12 @@
+//! What lives as long as a request.
+
+mod exchange;
+mod forward;
+mod refuse;
+mod respond;
+mod select;
+
+pub(crate) use {
+    refuse::Reply,
+    respond::{Request, respond},
+};
--- /dev/null
+++ b/crates/oriolehoist_edge/src/request/refuse.rs
@@ -0,0 +1,77 @@
+use {
+    bytes::Bytes,
+    http::{HeaderMap, HeaderValue, header::RETRY_AFTER},
+    oriolehoist_port::HttpAnswer,
+    oriolehoist_refusal::{Kind, Return, RunState},
+    oriolehoist_time::Millis,
+};
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Why a request is refused, and when to come back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusal {
+    pub(crate) kind: Kind,
+    /// Which check decided.
+    pub(crate) rule: &'static str,
+    /// When there will be room; the kind's usual time if nothing better is known.
+    pub(crate) come_back: Option<Millis>,
+}
+
+/// By how much of itself the time to come back is spread, so that callers don't return at once.
+const COME_BACK_SPREAD: f64 = 0.5;
+
+impl Refusal {
+    pub(crate) fn new(kind: Kind, rule: &'static str) -> Refusal {
+        Refusal { kind, rule, come_back: None }
+    }
+
+    pub(crate) fn come_back(self, after: Millis) -> Refusal {
+        Refusal { come_back: Some(after), ..self }
+    }
+
+    /// Returns the status: on this platform 429 and 503 promise that the request has not run, and
+    /// no 502 or 504 does.
+    pub(crate) fn status(&self) -> u16 {
+        let meaning = self.kind.meaning();
+        match (meaning.run_state, meaning.status) {
+            (RunState::NotRun, 502 | 504) => 503,
+            (_, status) => status,
+        }
+    }
+
+    pub(crate) fn reply(&self) -> Reply {
+        let mut reply = Reply::failure(self.status());
+        let usual = match self.kind.meaning().come_back {
+            Return::After(after) => Some(after),
+            Return::Never => None,
+        };
+        if let Some(after) = self.come_back.or(usual) {
+            let spread = 1.0 + fastrand::f64() * COME_BACK_SPREAD;
+            let seconds = after.0 as f64 * spread / 1000.0;
+            if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
+                reply.headers.insert(RETRY_AFTER, value);
+            }
+        }
+        reply.body = Bytes::from(self.kind.meaning().text);
+        reply
+    }
+}
+
+impl Reply {
+    pub(crate) fn failure(status: u16) -> Reply {
+        Reply { status, headers: HeaderMap::new(), body: Bytes::new() }
+    }
+}
+
+impl From<HttpAnswer> for Reply {
+    fn from(answer: HttpAnswer) -> Reply {
+        Reply { status: answer.status, headers: answer.headers, body: answer.body }
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_edge/src/request/respond.rs
@@ -0,0 +1,177 @@
+use {
+    crate::{
+        process::Shared,
+        request::{
+            Reply,
+            forward::{Job, Outcome, forward},
+            refuse::Refusal,
+        },
+        version::View,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, HeaderName, HeaderValue, header::HOST},
+    oriolehoist_http1::RequestHead,
+    oriolehoist_log::{Event, report},
+    oriolehoist_port::Route,
+    oriolehoist_refusal::Kind,
+    oriolehoist_time::Millis,
+    std::{future::Future, sync::Arc},
+};
+
+/// The longest time that is granted to a request that names no deadline.
+const USUAL_DEADLINE: Millis = Millis(5000);
+/// A request slower than this many times its objective is logged.
+const LATE_FACTOR: u64 = 1;
+
+/// A whole request of a caller.
+pub(crate) struct Request {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Millis,
+}
+
+/// Decides where a request goes. Returns whether it may run more than once, and its answer.
+pub(crate) fn respond(
+    cx: Arc<Shared>,
+    request: Request,
+) -> (bool, impl Future<Output = Reply> + Send + 'static) {
+    let job = prepare(&cx, request);
+    let repeatable = job.as_ref().is_ok_and(|job| job.route.repeatable);
+    let serve = async move {
+        match job {
+            Ok(job) => serve(&cx, job).await,
+            Err((id, refusal)) => {
+                log_refusal(&cx, &id, "", &refusal, Millis::ZERO);
+                refusal.reply()
+            }
+        }
+    };
+    (repeatable, serve)
+}
+
+async fn serve(cx: &Arc<Shared>, mut job: Job) -> Reply {
+    let outcome = forward(cx, &mut job).await;
+    let took = cx.clock.now().since(job.arrived);
+    let service = job.service.as_str();
+    cx.metrics.observe(service, took);
+    match outcome {
+        Outcome::Answered(answer) => {
+            if job.offers > 1 || took > job.route.objective * LATE_FACTOR {
+                let text = format_args!(
+                    "request={} route={} service={service} key={:?} status={} offers={} \
+                     server={} took_ms={} config={:08x}",
+                    job.id_text(),
+                    job.route.name,
+                    job.key,
+                    answer.status,
+                    job.offers,
+                    job.last_server,
+                    took.0,
+                    job.view.config.version,
+                );
+                report(Event::Served, text);
+            }
+            Reply::from(answer)
+        }
+        Outcome::Refused(refusal) => {
+            let context = format!(
+                "route={} service={service} key={:?} offers={} server={} config={:08x}",
+                job.route.name, job.key, job.offers, job.last_server, job.view.config.version,
+            );
+            log_refusal(cx, job.id_text(), &context, &refusal, took);
+            refusal.reply()
+        }
+    }
+}
+
+fn prepare(cx: &Shared, request: Request) -> Result<Job, (String, Refusal)> {
+    let names = cx.platform.headers();
+    let headers = &request.head.headers;
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let id = headers.get(&names.request_id).cloned();
+    let refuse = |kind, rule| {
+        let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        Err((id.to_owned(), Refusal::new(kind, rule)))
+    };
+    let Some(view) = cx.view.load() else {
+        return refuse(Kind::NotReady, "no configuration has arrived");
+    };
+    let Some(host) = headers.get(HOST).and_then(|host| host.to_str().ok()) else {
+        return refuse(Kind::Malformed, "the host is missing");
+    };
+    let Some(route) = view.route(host, &request.head.target).cloned() else {
+        return refuse(Kind::UnknownService, "no route matches");
+    };
+    let service = pick_share(&route);
+    let by_key = view.config.services.get(&service).is_some_and(|spec| spec.split_by_key);
+    let key = text(&names.key).and_then(|key| key.parse::<u16>().ok());
+    if by_key && key.is_none() {
+        return refuse(Kind::MissingKey, "the key is missing or no number");
+    }
+    let wait = text(&names.deadline).and_then(|deadline| deadline.parse().ok());
+    let wait = wait.map_or(USUAL_DEADLINE, Millis).min(route.timeout);
+    let forwarded = forwarded_headers(&request.head.headers, &names.expected_server);
+    Ok(Job {
+        id: id.unwrap_or_else(|| HeaderValue::from_static("")),
+        method: request.head.method,
+        target: request.head.target,
+        headers: forwarded,
+        body: request.body,
+        arrived: request.arrived,
+        deadline: request.arrived + wait,
+        objective: request.arrived + route.objective,
+        key: key.filter(|_| by_key),
+        service,
+        route,
+        view,
+        offers: 0,
+        last_server: Default::default(),
+    })
+}
+
+/// Chooses a service by the weights of the route's shares.
+fn pick_share(route: &Route) -> smol_str::SmolStr {
+    let total: u32 = route.shares.iter().map(|share| share.1).sum();
+    let mut at = fastrand::u32(0..total.max(1));
+    for (service, weight) in &route.shares {
+        match at.checked_sub(*weight) {
+            Some(rest) => at = rest,
+            None => return service.clone(),
+        }
+    }
+    route.shares.last().map(|share| share.0.clone()).unwrap_or_default()
+}
+
+fn forwarded_headers(headers: &HeaderMap, set_here: &HeaderName) -> HeaderMap {
+    let mut forwarded = headers.clone();
+    forwarded.remove(set_here);
+    forwarded
+}
+
+fn log_refusal(cx: &Shared, id: &str, context: &str, refusal: &Refusal, took: Millis) {
+    cx.metrics.on_refusal(refusal.kind);
+    let text = format_args!(
+        "request={id} kind={} status={} rule=\"{}\" {context} took_ms={}",
+        refusal.kind,
+        refusal.status(),
+        refusal.rule,
+        took.0,
+    );
+    report(Event::Refused, text);
+}
+
+impl Job {
+    pub(crate) fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or_default()
+    }
+
+    /// Returns the view as it is now.
+    pub(crate) fn refresh(&mut self, cx: &Shared) {
+        if let Some(view) = cx.view.load() {
+            self.view = view;
+        }
+    }
+}
+
+/// Keeps the type of a job's view in one place.
+pub(crate) type JobView = Arc<View>;
--- /dev/null
+++ b/crates/oriolehoist_edge/src/version/view.rs
@@ -0,0 +1,86 @@
+use {
+    crate::connection::Backend,
+    arc_swap::ArcSwapOption,
+    oriolehoist_keyspace::KeyRoutes,
+    oriolehoist_port::{Configuration, Route},
+    smol_str::SmolStr,
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+    tokio::sync::watch,
+};
+
+/// Everything that serving a request needs to know. Immutable: a change makes a new one.
+pub(crate) struct View {
+    pub(crate) config: Arc<Configuration>,
+    /// For each host its routes, those with the longest prefix first.
+    hosts: HashMap<SmolStr, Vec<usize>>,
+    /// Every known server, by its id.
+    pub(crate) backends: HashMap<SmolStr, Arc<Backend>>,
+    /// The servers of each service that stay, and those that leave.
+    pub(crate) services: HashMap<SmolStr, Vec<Arc<Backend>>>,
+    /// Who holds which keys, for services that are split by key.
+    pub(crate) keys: BTreeMap<SmolStr, KeyRoutes>,
+    /// How many daemons share the servers.
+    pub(crate) daemons: usize,
+}
+
+impl View {
+    pub(crate) fn new(
+        config: Arc<Configuration>,
+        backends: HashMap<SmolStr, Arc<Backend>>,
+        services: HashMap<SmolStr, Vec<Arc<Backend>>>,
+        keys: BTreeMap<SmolStr, KeyRoutes>,
+        daemons: usize,
+    ) -> View {
+        let mut hosts: HashMap<SmolStr, Vec<usize>> = HashMap::new();
+        for (index, route) in config.routes.iter().enumerate() {
+            let host = SmolStr::new(route.host.to_ascii_lowercase());
+            hosts.entry(host).or_default().push(index);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|index| std::cmp::Reverse(config.routes[*index].prefix.len()));
+        }
+        View { config, hosts, backends, services, keys, daemons }
+    }
+
+    /// Returns the route for a request: that with the longest prefix of the path.
+    pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.hosts.get(name.to_ascii_lowercase().as_str())?;
+        let path = path.split_once('?').map_or(path, |(path, _)| path);
+        let mut matching = routes.iter().map(|index| &self.config.routes[*index]);
+        matching.find(|route| path.starts_with(route.prefix.as_str()))
+    }
+}
+
+/// Where control publishes views and traffic reads them.
+pub(crate) struct ViewCell {
+    view: ArcSwapOption<View>,
+    changes: watch::Sender<u64>,
+}
+
+impl Default for ViewCell {
+    fn default() -> ViewCell {
+        ViewCell { view: ArcSwapOption::empty(), changes: watch::Sender::new(0) }
+    }
+}
+
+impl ViewCell {
+    /// Returns the present view, or `None` before there is a configuration.
+    pub(crate) fn load(&self) -> Option<Arc<View>> {
+        self.view.load_full()
+    }
+
+    /// Replaces the view and wakes whoever waits for a change.
+    pub(crate) fn publish(&self, view: View) {
+        self.view.store(Some(Arc::new(view)));
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that learns of every later change.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/oriolehoist_keyspace/src/server.rs
@@ -0,0 +1,78 @@
+use {
+    crate::{
+        Life,
+        timing::{LOST_AFTER, LOST_FAILURES, hold_end},
+    },
+    oriolehoist_time::Millis,
+    std::net::SocketAddr,
+};
+
+/// Identifies one life of a server within a keeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ServerKey(pub(crate) u32);
+
+/// What the registrations say of a server's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// It takes keys.
+    Ready,
+    /// It is leaving, or it is no longer registered; it may live on.
+    Leaving,
+    /// It has started again: this life has ended.
+    Ended,
+}
+
+/// One life of a server.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub(crate) life: Life,
+    /// Unknown for one that only the stored table names.
+    pub(crate) address: Option<SocketAddr>,
+    pub(crate) slots: u32,
+    pub(crate) standing: Standing,
+    /// When every grant that it may ever have got has lapsed.
+    pub(crate) holds_until: Millis,
+    /// When every grant has lapsed that got no answer and may still be carried out.
+    pub(crate) unanswered_until: Millis,
+    /// Grants that are on their way.
+    pub(crate) grants_in_flight: u32,
+    pub(crate) next_renewal: Millis,
+    pub(crate) failures: u32,
+    pub(crate) last_answer: Millis,
+}
+
+impl Server {
+    pub(crate) fn new(now: Millis, life: Life, held_until: Millis) -> Server {
+        Server {
+            life,
+            address: None,
+            slots: 1,
+            standing: Standing::Leaving,
+            holds_until: held_until,
+            unanswered_until: held_until,
+            grants_in_flight: 0,
+            next_renewal: now,
+            failures: 0,
+            last_answer: now,
+        }
+    }
+
+    /// Returns whether keys may be given to it.
+    pub(crate) fn is_usable(&self, now: Millis) -> bool {
+        self.standing == Standing::Ready && !self.is_silent(now)
+    }
+
+    /// Returns whether orders to it have been without an answer for long.
+    pub(crate) fn is_silent(&self, now: Millis) -> bool {
+        self.failures >= LOST_FAILURES && now.since(self.last_answer) >= LOST_AFTER
+    }
+
+    /// Notes that a grant arrived at `now` at the latest.
+    pub(crate) fn on_grant_arrived(&mut self, now: Millis, hold: Millis, answered: bool) {
+        let end = hold_end(now, hold);
+        self.holds_until = self.holds_until.max(end);
+        if !answered {
+            self.unanswered_until = self.unanswered_until.max(end);
+        }
+    }
+}
--- a/crates/oriolehoist_daemon/src/process/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -57,8 +57,26 @@
     VouchersBack = 3006, Info;
     /// The witnesses or the servers of a term's record were replaced.
     RecordReplaced = 3007, Info;
+    /// The daemon became ready, or ceased to be.
+    Readiness = 1005, Info;
+    /// The start settings changed.
+    SettingsFileChanged = 1006, Info;
+    /// The assigner was not heard for a while, or is heard again.
+    AssignerHeard = 3008, Info;
+    /// A change of who owns which keys was planned and is to be stored.
+    OwnershipPlanned = 3009, Info;
+    /// An order to a server was not carried out as asked.
+    OrderFailed = 3010, Info;
+    /// A call to the store failed.
+    StoreCallFailed = 2005, Info;
+    /// The list of backend servers changed.
+    ServersChanged = 2006, Info;
+    /// A server's registration could not be understood; it names no server.
+    ServerMalformed = 2007, Warn;
+    /// A request was answered late, or after more than one offer to a server.
+    Served = 4004, Info;
     /// A request was refused.
-    Refused = 4001, Debug;
+    Refused = 4001, Info;
     /// A server crashed while requests were in flight.
     ServerCrashed = 4002, Warn;
     /// Connections to a server went silent and were given up.
@@ -68,6 +86,6 @@
 }
 
 /// Logs an event with its number.
-pub(crate) fn report(event: Event, text: std::fmt::Arguments<'_>) {
+pub fn report(event: Event, text: std::fmt::Arguments<'_>) {
     log::log!(event.level(), "E{} {}: {text}", event as u32, event.name());
 }
--- /dev/null
+++ b/crates/oriolehoist_log/src/lib.rs
@@ -0,0 +1,16 @@
+//! The numbered events of the log, and a writer that never blocks.
+//!
+//! ```
+//! use oriolehoist_log::{Event, report};
+//!
+//! report(Event::Started, format_args!("instance=entry-1"));
+//! ```
+
+mod event;
+mod logging;
+mod writer;
+
+pub use {
+    event::{Event, report},
+    logging::init_logging,
+};
--- a/crates/oriolehoist_daemon/src/process/logging.rs
+++ b/crates/oriolehoist_log/src/logging.rs
@@ -1,13 +1,10 @@
-use {
-    log::LevelFilter,
-    std::{io::stderr, str::FromStr},
-};
+use {crate::writer::Writer, log::LevelFilter, std::str::FromStr};
 
-/// Sends the log to standard error, one line an event.
+/// Sends the log to standard output, one line an event, without ever waiting for its reader.
 ///
 /// # Errors
 ///
-/// Returns an error if the level is unknown or a logger is already set.
+/// Returns an error if the level is unknown, a logger is already set or no thread can be started.
 pub fn init_logging(level: &str) -> eyre::Result<()> {
     let level = LevelFilter::from_str(level)?;
     fern::Dispatch::new()
@@ -16,8 +13,8 @@
             out.finish(format_args!("{time} {} {message}", record.level()));
         })
         .level(LevelFilter::Warn)
-        .level_for("oriolehoist_daemon", level)
-        .chain(stderr())
+        .level_for("oriolehoist_log", level)
+        .chain(Box::new(Writer::start()?) as Box<dyn std::io::Write + Send>)
         .apply()?;
     Ok(())
 }
--- a/src/bin/oriolehoist.rs
+++ b/src/bin/oriolehoist.rs
@@ -2,9 +2,11 @@
 
 use {
     argh::FromArgs,
-    eyre::WrapErr,
-    oriolehoist_daemon::{Daemon, init_logging},
-    std::{fs, path::PathBuf, process::ExitCode},
+    eyre::{OptionExt, WrapErr},
+    oriolehoist_adapter::{SETTINGS_VARIABLE, UsersPlatform},
+    oriolehoist_daemon::Daemon,
+    oriolehoist_log::init_logging,
+    std::{env, fs, path::PathBuf, process::ExitCode, sync::Arc},
     tokio::signal::unix::{SignalKind, signal},
 };
 
@@ -13,15 +15,25 @@
 struct Args {
     /// the instance file: addresses, availability zone, the platform's addresses, key files
     #[argh(positional)]
-    instance: PathBuf,
+    instance: Option<PathBuf>,
     /// check the instance file and end
     #[argh(switch)]
     check: bool,
+    /// run on the users' platform, with the start settings that it names
+    #[argh(switch)]
+    platform: bool,
+    /// what the log holds on the users' platform: error, warn, info (default) or debug
+    #[argh(option, default = "\"info\".into()")]
+    log: String,
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match run(&args) {
+    let done = match args.platform {
+        true => run_on_platform(&args),
+        false => run(&args),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("oriolehoist: {error:#}");
@@ -30,9 +42,17 @@
     }
 }
 
+fn run_on_platform(args: &Args) -> eyre::Result<()> {
+    let settings = env::var_os(SETTINGS_VARIABLE)
+        .ok_or_else(|| eyre::eyre!("{SETTINGS_VARIABLE} is not set"))?;
+    init_logging(&args.log)?;
+    oriolehoist_edge::run(Arc::new(UsersPlatform::default()), &PathBuf::from(settings))
+}
+
 fn run(args: &Args) -> eyre::Result<()> {
-    let path = args.instance.display();
-    let text = fs::read_to_string(&args.instance).wrap_err_with(|| format!("can't read {path}"))?;
+    let instance = args.instance.as_ref().ok_or_eyre("the instance file is missing")?;
+    let path = instance.display();
+    let text = fs::read_to_string(instance).wrap_err_with(|| format!("can't read {path}"))?;
     let file = oriolehoist_settings::parse_instance(&text)
         .map_err(|problems| eyre::eyre!("{path}:\n{problems}"))?;
     let level = file.log.clone();
