--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -45,6 +45,8 @@
     heard_at: Millis,
     heard: bool,
     term: u64,
+    /// The last reading of the servers succeeded, and the next one waits for changes.
+    watching_servers: bool,
 }
 
 /// What the daemon is to the others.
@@ -80,6 +82,7 @@
             heard_at: Millis::ZERO,
             heard: false,
             term: 0,
+            watching_servers: false,
         }
     }
 
@@ -225,7 +228,9 @@
                     self.sync_peers(me, false);
                 }
             }
+            Input::ServersUnread => self.watching_servers = false,
             Input::Servers { began, list } => {
+                self.watching_servers = true;
                 let changed = self.known.offer_servers(began, list);
                 match &mut self.role {
                     Role::Assigner(assigner) => {
@@ -266,6 +271,10 @@
                 }
             }
             Input::LeaseKept { term, sent, answer } => {
+                // The store answers this daemon, and a watch of the servers is waiting there.
+                if answer.is_ok() && self.watching_servers {
+                    self.known.servers_fresh_at = self.known.servers_fresh_at.max(sent);
+                }
                 self.with_term(term, "the lease has ended", |assigner| {
                     assigner.on_lease_kept(now, sent, &answer)
                 });
--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -37,6 +37,8 @@
 const SERVERS_SETTLED: Millis = Millis(1500);
 /// How long after its start a daemon that takes over waits for servers to register again.
 const START_WAIT: Millis = Millis(2500);
+/// How long after a move its end is stored; several then share a write.
+const TIDY_AFTER: Millis = Millis(500);
 /// The pause before a failed write of the table is repeated.
 const WRITE_RETRY: Millis = Millis(150);
 
@@ -57,6 +59,8 @@
     next_keep: Millis,
     doubtful: bool,
     servers_changed_at: Millis,
+    /// When to store the table anew because moves have ended.
+    tidy_at: Option<Millis>,
     plan_from: Millis,
     /// What each peer is known to hold.
     pub(crate) peers: HashMap<SmolStr, PeerState>,
@@ -96,6 +100,7 @@
             next_keep: now + KEEP_INTERVAL,
             doubtful: false,
             servers_changed_at: now,
+            tidy_at: None,
             plan_from: if now.since(started) < START_WAIT { now + START_WAIT } else { now },
             peers: HashMap::new(),
         };
@@ -219,8 +224,14 @@
                 );
             }
         }
-        if changed {
+        for keeper in self.keepers.values_mut() {
+            if keeper.take_outdated() {
+                self.tidy_at.get_or_insert(now + TIDY_AFTER);
+            }
+        }
+        if changed || self.tidy_at.is_some_and(|at| now >= at) {
             self.version = version;
+            self.tidy_at = None;
         }
     }
 
--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -13,15 +13,15 @@
     std::collections::{BTreeMap, HashSet},
 };
 
-/// A watch of the servers that is silent for this long is not trusted: servers write more often.
-const WATCH_WAIT: Millis = Millis(600);
+/// The longest wait of a watch: it bounds how long a connection that went silent is trusted.
+const WATCH_WAIT: Millis = Millis(1500);
 /// How long the entry of a server that vanished is kept as leaving, so that its keys can be taken
 /// over from it.
 const KEEP_VANISHED: Millis = Millis(8000);
 /// How long after the store's return missing entries may still come back.
 const RETURN_TIME: Millis = Millis(2300);
-/// The store counts as having been away if it did not answer for this long.
-const AWAY_AFTER: Millis = Millis(1200);
+/// The store counts as having been away if its calls failed for this long.
+const AWAY_AFTER: Millis = Millis(400);
 
 /// What was read so far.
 #[derive(Default)]
@@ -30,14 +30,15 @@
     entries: BTreeMap<String, Option<RegisteredServer>>,
     vanished: BTreeMap<String, (Millis, RegisteredServer)>,
     malformed: HashSet<String>,
-    last_answer: Millis,
+    failing_since: Option<Millis>,
     returned_at: Millis,
 }
 
 impl ServerReader {
-    /// Forgets where to continue, so that the next reading starts afresh.
+    /// Forgets everything: what was read before a pause says nothing about what vanished since.
     pub(crate) fn restart(&mut self) {
-        self.at = None;
+        let malformed = std::mem::take(&mut self.malformed);
+        *self = ServerReader { malformed, ..ServerReader::default() };
     }
 
     /// Reads once: everything at first, then what has changed. Returns the servers.
@@ -47,20 +48,17 @@
         platform: &dyn Platform,
         now: impl Fn() -> Millis,
     ) -> Result<ServerList, StoreError> {
+        let began = now();
         let read = match self.at {
             None => self.list(store, platform, &now).await,
             Some(after) => self.watch(store, platform, after, &now).await,
         };
         if let Err(error) = read {
             self.at = None;
+            self.failing_since.get_or_insert(began);
             return Err(error);
         }
-        let time = now();
-        if self.last_answer > Millis::ZERO && time.since(self.last_answer) > AWAY_AFTER {
-            self.returned_at = time;
-        }
-        self.last_answer = time;
-        Ok(self.current(time))
+        Ok(self.current(now()))
     }
 
     async fn list(
@@ -85,6 +83,10 @@
                 break at;
             }
         };
+        let away = self.failing_since.take().map(|since| now().since(since));
+        if away.is_some_and(|away| away > AWAY_AFTER) {
+            self.returned_at = now();
+        }
         let keys: HashSet<&String> = found.iter().map(|item| &item.key).collect();
         let missing: Vec<String> =
             self.entries.keys().filter(|key| !keys.contains(key)).cloned().collect();
@@ -109,9 +111,6 @@
         let call = StoreCall::Watch { prefix, after, wait: WATCH_WAIT };
         match store.call(call).await? {
             StoreAnswer::Changes { changes, at } => {
-                if changes.is_empty() {
-                    return self.list(store, platform, now).await;
-                }
                 for change in changes {
                     match change {
                         Change::Written(item) => self.insert(platform, item),
@@ -150,9 +149,9 @@
     fn current(&mut self, now: Millis) -> ServerList {
         self.vanished.retain(|_, (since, _)| now.since(*since) < KEEP_VANISHED);
         let returning = now < self.returned_at + RETURN_TIME && self.returned_at > Millis::ZERO;
-        let vanished = self.vanished.values().map(|(_, server)| {
+        let vanished = self.vanished.values().map(|(since, server)| {
             let state = match server.state {
-                ServerState::Ready if returning => ServerState::Ready,
+                ServerState::Ready if returning && *since >= self.returned_at => ServerState::Ready,
                 _ => ServerState::Draining,
             };
             RegisteredServer { state, ..server.clone() }
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -21,12 +21,15 @@
 
 /// Time between ticks of the decisions.
 const TICK: Duration = Duration::from_millis(25);
-/// The longest wait of a watch of what changes seldom.
-const WATCH_WAIT: Millis = Millis::from_secs(20);
+/// The longest wait of a watch of the configuration: it bounds how long a connection that went
+/// silent is trusted.
+const CONFIG_WAIT: Millis = Millis(4000);
+/// The longest wait of a watch of the members.
+const MEMBERS_WAIT: Millis = Millis(8000);
 /// The pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
-/// The pause between two readings of the servers, so that their many writes come in batches.
-const SERVERS_PAUSE: Duration = Duration::from_millis(400);
+/// The pause between two readings of the servers, so that changes at the same time come together.
+const SERVERS_PAUSE: Duration = Duration::from_millis(200);
 /// How often a reader that is not needed looks whether it is.
 const IDLE_PAUSE: Duration = Duration::from_millis(50);
 /// How long a member's entry outlives its daemon.
@@ -93,7 +96,7 @@
                 }
                 continue;
             };
-            let call = StoreCall::Watch { prefix: key.into(), after: revision, wait: WATCH_WAIT };
+            let call = StoreCall::Watch { prefix: key.into(), after: revision, wait: CONFIG_WAIT };
             match self.store.call(call).await {
                 Ok(StoreAnswer::Changes { changes, at }) => {
                     for change in changes {
@@ -116,13 +119,19 @@
     /// Reads the servers while this daemon is the assigner, or hears nothing of it.
     async fn follow_servers(self) {
         let mut reader = ServerReader::default();
+        let mut idle = false;
         loop {
             let needed = self.reading().await.is_some_and(|reading| reading.servers);
             if !needed {
-                reader.restart();
+                if !idle {
+                    reader.restart();
+                    self.tell(Input::ServersUnread).await;
+                    idle = true;
+                }
                 sleep(IDLE_PAUSE).await;
                 continue;
             }
+            idle = false;
             let began = self.cx.clock.now();
             let clock = self.cx.clock;
             let platform = self.cx.platform.as_ref();
@@ -131,7 +140,10 @@
                     self.tell(Input::Servers { began, list }).await;
                     sleep(SERVERS_PAUSE).await;
                 }
-                Err(_) => sleep(FAILURE_PAUSE).await,
+                Err(_) => {
+                    self.tell(Input::ServersUnread).await;
+                    sleep(FAILURE_PAUSE).await;
+                }
             }
         }
     }
@@ -149,7 +161,7 @@
             let prefix = MEMBERS_PREFIX.to_owned();
             let call = match after {
                 None => StoreCall::List { prefix, after: None },
-                Some(after) => StoreCall::Watch { prefix, after, wait: Millis(5000) },
+                Some(after) => StoreCall::Watch { prefix, after, wait: MEMBERS_WAIT },
             };
             match self.store.call(call).await {
                 Ok(StoreAnswer::Page { items, at, .. }) => {
--- a/crates/oriolehoist_keyspace/src/keeper.rs
+++ b/crates/oriolehoist_keyspace/src/keeper.rs
@@ -4,7 +4,7 @@
         load::KeyLoad,
         orders::InFlight,
         server::{Server, ServerKey, Standing},
-        slice::{Former, Slice, Step},
+        slice::{Ending, Former, Slice, Step},
         timing::hold_end,
     },
     oriolehoist_port::{RegisteredServer, ServerState},
@@ -26,6 +26,8 @@
     pub(crate) stored: u64,
     pub(crate) load: KeyLoad,
     pub(crate) balanced_at: Millis,
+    /// Moves have ended since the table was stored: it names owners that have ended.
+    pub(crate) outdated: bool,
 }
 
 impl Keeper {
@@ -40,15 +42,20 @@
         let held_until = hold_end(now, longest_hold);
         for assigned in assigned {
             let owner = self.learn(now, &assigned.owner, held_until);
-            let step = match &assigned.former {
-                Some((life, fence)) => {
+            let endings: Vec<Ending> = assigned
+                .formers
+                .iter()
+                .map(|(life, fence)| {
                     let server = self.learn(now, life, held_until);
-                    ending(Former { server, fence: *fence })
-                }
-                None => Step::Held,
+                    Ending::new(Former { server, fence: *fence })
+                })
+                .collect();
+            let step = match endings.is_empty() {
+                true => Step::Held,
+                false => Step::Ending { endings, handover: None },
             };
             let (range, fence) = (assigned.range, assigned.fence);
-            self.slices.push(Slice { range, owner, fence, version: 0, step });
+            self.slices.push(Slice { range, owner, fence, version: 0, granted: true, step });
         }
         self.slices.sort_by_key(|slice| slice.range);
     }
@@ -119,6 +126,12 @@
         self.replace_unusable(now, version, fences) | self.balance(now, version, fences)
     }
 
+    /// Returns whether the stored table names earlier owners that have ended, and forgets it. A
+    /// later assigner would ask them for nothing.
+    pub fn take_outdated(&mut self) -> bool {
+        std::mem::take(&mut self.outdated)
+    }
+
     /// Returns whether nobody owns any keys yet.
     pub fn is_unassigned(&self) -> bool {
         self.slices.is_empty()
@@ -133,17 +146,14 @@
 
     /// Returns the ranges as they are to be stored.
     pub fn assigned(&self) -> Vec<Assigned> {
-        let former = |slice: &Slice| {
-            let former = slice.former()?;
-            Some((self.server(former.server).life.clone(), former.fence))
-        };
+        let life = |former: &Former| (self.server(former.server).life.clone(), former.fence);
         self.slices
             .iter()
             .map(|slice| Assigned {
                 range: slice.range,
                 owner: self.server(slice.owner).life.clone(),
                 fence: slice.fence,
-                former: former(slice),
+                formers: slice.formers().iter().map(life).collect(),
             })
             .collect()
     }
@@ -164,15 +174,15 @@
         };
         match &slice.step {
             Step::Held => of(slice.owner),
-            Step::Planned(Some(former)) => of(former.server),
-            Step::Ending { former, until: Some(until), .. }
-                if self.server(former.server).is_silent(now)
-                    || self.server(former.server).failures > 1 =>
-            {
-                Holder::Lost(until.since(now))
+            Step::Planned { renewed: Some(former), .. } => of(former.server),
+            Step::Ending { endings, .. } => {
+                let blocked = endings.iter().filter_map(|ending| {
+                    let silent = self.server(ending.former.server).failures > 1;
+                    ending.until.filter(|until| (silent || ending.released) && *until > now)
+                });
+                blocked.max().map_or(Holder::Moving, |until| Holder::Lost(until.since(now)))
             }
-            Step::Released { until, .. } if *until > now => Holder::Lost(until.since(now)),
-            _ => Holder::Moving,
+            Step::Planned { renewed: None, .. } | Step::Granting { .. } => Holder::Moving,
         }
     }
 
@@ -184,8 +194,3 @@
         &mut self.servers[key.0 as usize]
     }
 }
-
-/// Starts to end an earlier owner.
-pub(crate) fn ending(former: Former) -> Step {
-    Step::Ending { former, until: None, asked: false, ask_at: Millis::ZERO }
-}
--- a/crates/oriolehoist_keyspace/src/orders.rs
+++ b/crates/oriolehoist_keyspace/src/orders.rs
@@ -1,9 +1,8 @@
 use {
     crate::{
         Keeper, Life,
-        keeper::ending,
         server::{ServerKey, Standing},
-        slice::{Former, Step},
+        slice::{Ending, Former, Step},
         timing::{ORDER_TIMEOUT, RELEASE_TIMEOUT, RENEWAL_INTERVAL, RETRY_PAUSE},
     },
     derive_more::Display,
@@ -67,66 +66,73 @@
         due
     }
 
-    /// Moves a slice on as far as it is proved that its earlier owner has ended.
+    /// Moves a slice on as far as it is proved that its earlier owners have ended.
     fn advance(&mut self, now: Millis, index: usize) {
         let slice = &self.slices[index];
+        let range = slice.range;
         let next = match &slice.step {
-            Step::Planned(former) if slice.version <= self.stored => match former {
-                Some(former) => Some(ending(*former)),
-                None => Some(granting(None)),
-            },
-            Step::Ending { former, until: None, asked, ask_at }
-                if !self.has_grant_in_flight(former.server, slice.range) =>
-            {
-                let until = Some(self.server(former.server).holds_until);
-                Some(Step::Ending { former: *former, until, asked: *asked, ask_at: *ask_at })
-            }
-            Step::Ending { former, until: Some(until), .. } => {
-                let server = self.server(former.server);
-                let lapsed = now >= *until;
-                let restarted =
-                    server.standing == Standing::Ended && now >= server.unanswered_until;
-                (lapsed || restarted).then(|| granting(None))
+            Step::Planned { formers, .. } if slice.version <= self.stored => {
+                let endings = formers.iter().copied().map(Ending::new).collect();
+                Step::Ending { endings, handover: None }
             }
-            Step::Released { until, handover, .. } if now >= *until => {
-                Some(granting(handover.clone()))
+            Step::Ending { endings, handover } => {
+                let mut endings = endings.clone();
+                endings.retain_mut(|ending| {
+                    let server = self.server(ending.former.server);
+                    if ending.until.is_none()
+                        && !self.has_grant_in_flight(ending.former.server, range)
+                    {
+                        ending.until = Some(server.holds_until);
+                    }
+                    let restarted =
+                        server.standing == Standing::Ended && now >= server.unanswered_until;
+                    ending.until.is_none_or(|until| now < until && !restarted)
+                });
+                match endings.is_empty() {
+                    true => granting(handover.clone()),
+                    false => Step::Ending { endings, handover: handover.clone() },
+                }
             }
-            _ => None,
+            Step::Planned { .. } | Step::Granting { .. } | Step::Held => return,
         };
-        if let Some(next) = next {
-            self.slices[index].step = next;
-        }
+        self.slices[index].step = next;
     }
 
-    fn order_for_slice(&mut self, now: Millis, index: usize, hold: Millis) -> Option<OrderToSend> {
-        let slice = &mut self.slices[index];
-        let range = slice.range;
-        match &mut slice.step {
-            Step::Ending { former, until: Some(_), asked, ask_at } if !*asked && now >= *ask_at => {
-                let Former { server, fence } = *former;
-                *asked = true;
-                let order = Order::Release { range, fence };
-                let sent = self.send(server, range, fence, None, order);
-                if sent.is_none() {
-                    self.release_failed(now, index);
-                }
-                sent
-            }
-            Step::Granting { handover, in_flight, at } if *in_flight == 0 && now >= *at => {
-                let (server, fence, handover) = (slice.owner, slice.fence, handover.clone());
-                if self.server(server).standing == Standing::Ended {
-                    return None;
-                }
-                let order = Order::Grant { range, fence, hold, handover };
-                let sent = self.send(server, range, fence, Some(hold), order);
-                if let (Some(_), Step::Granting { in_flight, .. }) =
-                    (&sent, &mut self.slices[index].step)
-                {
-                    *in_flight += 1;
+    fn order_for_slice(&mut self, now: Millis, index: usize, hold: Millis) -> Vec<OrderToSend> {
+        let slice = &self.slices[index];
+        let (range, owner, fence) = (slice.range, slice.owner, slice.fence);
+        match slice.step.clone() {
+            Step::Ending { endings, .. } => endings
+                .iter()
+                .enumerate()
+                .filter(|(_, ending)| {
+                    ending.until.is_some()
+                        && !ending.released
+                        && !ending.asked
+                        && now >= ending.ask_at
+                })
+                .filter_map(|(position, ending)| {
+                    let Former { server, fence } = ending.former;
+                    let order = Order::Release { range, fence };
+                    let sent = self.send(server, range, fence, None, order)?;
+                    if let Step::Ending { endings, .. } = &mut self.slices[index].step {
+                        endings[position].asked = true;
+                    }
+                    Some(sent)
+                })
+                .collect(),
+            Step::Granting { handover, in_flight: false, at }
+                if now >= at && self.server(owner).standing != Standing::Ended =>
+            {
+                let order = Order::Grant { range, fence, hold, handover: handover.clone() };
+                let sent = self.send(owner, range, fence, Some(hold), order);
+                if sent.is_some() {
+                    self.slices[index].granted = true;
+                    self.slices[index].step = Step::Granting { handover, in_flight: true, at };
                 }
-                sent
+                sent.into_iter().collect()
             }
-            _ => None,
+            _ => Vec::new(),
         }
     }
 
@@ -218,13 +224,13 @@
             let same = slice.owner == flight.server
                 && slice.fence == flight.fence
                 && flight.range.contains(slice.range.first);
-            if !same {
-                continue;
-            }
             match &mut slice.step {
-                Step::Granting { .. } if done => slice.step = Step::Held,
-                Step::Granting { in_flight, at, .. } => {
-                    *in_flight = in_flight.saturating_sub(1);
+                Step::Granting { .. } if same && done => {
+                    slice.step = Step::Held;
+                    self.outdated = true;
+                }
+                Step::Granting { in_flight, at, .. } if same => {
+                    *in_flight = false;
                     *at = now + RETRY_PAUSE;
                 }
                 _ => {}
@@ -235,37 +241,26 @@
     fn release_ended(&mut self, now: Millis, flight: &InFlight, end: &OrderEnd) {
         let unanswered_until = self.server(flight.server).unanswered_until;
         let asked_of = Former { server: flight.server, fence: flight.fence };
-        for index in 0..self.slices.len() {
-            let slice = &mut self.slices[index];
-            let same =
+        for slice in &mut self.slices {
+            let covered =
                 flight.range.first <= slice.range.first && slice.range.last <= flight.range.last;
-            match (&slice.step, end) {
-                (Step::Ending { former, until: Some(until), .. }, _)
-                    if same && *former == asked_of =>
-                {
-                    match end {
-                        OrderEnd::Answered(OrderAnswer::Done(handover)) => {
-                            slice.step = Step::Released {
-                                former: *former,
-                                until: unanswered_until.min(*until),
-                                handover: handover.clone(),
-                            };
-                        }
-                        _ => self.release_failed(now, index),
+            let Step::Ending { endings, handover } = &mut slice.step else { continue };
+            let asked = endings.iter_mut().find(|ending| ending.former == asked_of);
+            let Some(ending) = asked.filter(|_| covered) else { continue };
+            ending.asked = false;
+            match end {
+                OrderEnd::Answered(OrderAnswer::Done(given)) => {
+                    ending.released = true;
+                    ending.until = ending.until.map(|until| until.min(unanswered_until));
+                    if given.is_some() {
+                        handover.clone_from(given);
                     }
                 }
-                _ => {}
+                _ => ending.ask_at = now + RETRY_PAUSE,
             }
         }
     }
 
-    fn release_failed(&mut self, now: Millis, index: usize) {
-        if let Step::Ending { asked, ask_at, .. } = &mut self.slices[index].step {
-            *asked = false;
-            *ask_at = now + RETRY_PAUSE;
-        }
-    }
-
     fn has_grant_in_flight(&self, server: ServerKey, range: KeyRange) -> bool {
         self.flights.values().any(|flight| {
             flight.server == server
@@ -278,5 +273,5 @@
 
 /// Starts to grant a range.
 pub(crate) fn granting(handover: Option<Handover>) -> Step {
-    Step::Granting { handover, in_flight: 0, at: Millis::ZERO }
+    Step::Granting { handover, in_flight: false, at: Millis::ZERO }
 }
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -3,7 +3,7 @@
         Fences, Keeper,
         load::BUCKET_KEYS,
         server::{ServerKey, Standing},
-        slice::{Former, Slice, Step},
+        slice::{Slice, Step},
     },
     oriolehoist_port::KeyRange,
     oriolehoist_time::Millis,
@@ -66,7 +66,7 @@
                 if let Some(entry) = loads.iter_mut().find(|entry| entry.0 == to) {
                     entry.1 += load / entry.2;
                 }
-                self.reassign(part, to, version, fences.issue());
+                self.slices[part].reassign(to, version, fences.issue());
             }
             changed = true;
             index += parts;
@@ -101,7 +101,7 @@
             let wanted = ((busiest.1 - mean) * busiest.2).min((mean * 1.1 - least.1) * least.2);
             let Some((index, range, load)) = self.busy_piece(busiest.0, wanted) else { break };
             let part = self.carve(index, range);
-            self.reassign(part, least.0, version, fences.issue());
+            self.slices[part].reassign(least.0, version, fences.issue());
             for entry in &mut loads {
                 match entry.0 {
                     key if key == busiest.0 => entry.1 -= load / entry.2,
@@ -156,30 +156,20 @@
             if end > first {
                 let range = KeyRange { first: first as u16, last: (end - 1) as u16 };
                 let fence = fences.issue();
-                let step = Step::Planned(None);
-                self.slices.push(Slice { range, owner: *key, fence, version, step });
+                let step = Step::Planned { formers: Vec::new(), renewed: None };
+                self.slices.push(Slice {
+                    range,
+                    owner: *key,
+                    fence,
+                    version,
+                    granted: false,
+                    step,
+                });
                 first = end;
             }
         }
     }
 
-    /// Gives a slice a new owner.
-    fn reassign(&mut self, index: usize, to: ServerKey, version: u64, fence: u64) {
-        let slice = &mut self.slices[index];
-        let former = match &slice.step {
-            // Nothing was sent to the owner under the present fence.
-            Step::Planned(former) => *former,
-            Step::Ending { former, .. } | Step::Released { former, .. } => Some(*former),
-            Step::Granting { .. } | Step::Held => {
-                Some(Former { server: slice.owner, fence: slice.fence })
-            }
-        };
-        slice.owner = to;
-        slice.fence = fence;
-        slice.version = version;
-        slice.step = Step::Planned(former);
-    }
-
     /// Cuts a slice into `parts` of about the same number of keys. Returns how many there are.
     fn cut(&mut self, index: usize, parts: u32) -> usize {
         let range = self.slices[index].range;
--- a/crates/oriolehoist_keyspace/src/slice.rs
+++ b/crates/oriolehoist_keyspace/src/slice.rs
@@ -12,10 +12,12 @@
     pub(crate) fence: u64,
     /// The version of the table that first has this ownership. Nothing is done before it is stored.
     pub(crate) version: u64,
+    /// Whether the owner may already have been granted the range under this fence.
+    pub(crate) granted: bool,
     pub(crate) step: Step,
 }
 
-/// An earlier owner that is not known to have ended.
+/// An ownership that may not have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Former {
     pub(crate) server: ServerKey,
@@ -25,47 +27,75 @@
 /// How far a change of owner has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
-    /// The table is not stored yet. The earlier owner, if any, goes on.
-    Planned(Option<Former>),
-    /// The earlier owner gets no more renewals and is asked to release.
-    Ending {
-        former: Former,
-        /// When its last possible grant has lapsed; known once no grant is on its way.
-        until: Option<Millis>,
-        asked: bool,
-        /// When to ask again.
-        ask_at: Millis,
+    /// The table is not stored yet.
+    Planned {
+        formers: Vec<Former>,
+        /// The one among them that held the range until now and goes on.
+        renewed: Option<Former>,
     },
-    /// It has answered the release; grants without an answer may still be carried out.
-    Released { former: Former, until: Millis, handover: Option<Handover> },
-    /// The earlier owner has ended. The owner is being granted the range.
+    /// The earlier owners get no more renewals and are asked to release.
+    Ending { endings: Vec<Ending>, handover: Option<Handover> },
+    /// The earlier owners have ended. The owner is being granted the range.
     Granting {
         handover: Option<Handover>,
-        /// Grants that are on their way.
-        in_flight: u32,
-        /// When to send the next.
+        in_flight: bool,
+        /// When to send the next grant.
         at: Millis,
     },
     /// The owner has acknowledged the range.
     Held,
 }
 
+/// How far it is proved that an earlier ownership has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Ending {
+    pub(crate) former: Former,
+    /// When its last possible grant has lapsed; known once no grant is on its way.
+    pub(crate) until: Option<Millis>,
+    /// It has answered the release.
+    pub(crate) released: bool,
+    /// A release is on its way.
+    pub(crate) asked: bool,
+    /// When to ask again.
+    pub(crate) ask_at: Millis,
+}
+
+impl Ending {
+    pub(crate) fn new(former: Former) -> Ending {
+        Ending { former, until: None, released: false, asked: false, ask_at: Millis::ZERO }
+    }
+}
+
 impl Slice {
-    /// Returns who may hold the range by orders of this assigner, and is to be renewed.
+    /// Returns who holds the range by orders of this assigner, and is to be renewed.
     pub(crate) fn renewed(&self) -> Option<Former> {
         match &self.step {
-            Step::Planned(former) => *former,
+            Step::Planned { renewed, .. } => *renewed,
             Step::Held => Some(Former { server: self.owner, fence: self.fence }),
-            _ => None,
+            Step::Ending { .. } | Step::Granting { .. } => None,
         }
     }
 
-    /// Returns the earlier owner that is not known to have ended.
-    pub(crate) fn former(&self) -> Option<Former> {
+    /// Returns the earlier ownerships that are not known to have ended.
+    pub(crate) fn formers(&self) -> Vec<Former> {
         match &self.step {
-            Step::Planned(former) => *former,
-            Step::Ending { former, .. } | Step::Released { former, .. } => Some(*former),
-            Step::Granting { .. } | Step::Held => None,
+            Step::Planned { formers, .. } => formers.clone(),
+            Step::Ending { endings, .. } => endings.iter().map(|ending| ending.former).collect(),
+            Step::Granting { .. } | Step::Held => Vec::new(),
+        }
+    }
+
+    /// Gives the range a new owner.
+    pub(crate) fn reassign(&mut self, to: ServerKey, version: u64, fence: u64) {
+        let renewed = self.renewed();
+        let mut formers = self.formers();
+        if self.granted {
+            formers.push(Former { server: self.owner, fence: self.fence });
         }
+        self.owner = to;
+        self.fence = fence;
+        self.version = version;
+        self.granted = false;
+        self.step = Step::Planned { formers, renewed };
     }
 }
--- a/crates/oriolehoist_keyspace/src/table.rs
+++ b/crates/oriolehoist_keyspace/src/table.rs
@@ -23,8 +23,8 @@
     pub owner: Life,
     /// The fence of this ownership.
     pub fence: u64,
-    /// The earlier owner and its fence, if it was not known to have ended when this was stored.
-    pub former: Option<(Life, u64)>,
+    /// The earlier owners and their fences that were not known to have ended when this was stored.
+    pub formers: Vec<(Life, u64)>,
 }
 
 /// What the assigner stores before it acts on it. The next assigner continues from it.
