Send routes compactly, and read the configuration on from the store's revision

Change: a watch continues from the store's revision; waits are told in steps of 500 ms; routes name each server once.

--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -374,13 +374,13 @@
 /// Finds out what became of a write without an answer.
 async fn look_back(store: &StoreClient, term: Revision, table: &Table) -> TableWrite {
     match store.call(StoreCall::Get(ASSIGNER_KEY.into())).await {
-        Ok(StoreAnswer::Item(Some(item))) if item.revision == term => {}
-        Ok(StoreAnswer::Item(_)) => return TableWrite::Superseded,
+        Ok(StoreAnswer::Item { item: Some(item), .. }) if item.revision == term => {}
+        Ok(StoreAnswer::Item { .. }) => return TableWrite::Superseded,
         _ => return TableWrite::Failed,
     }
     let (revision, held) = match store.call(StoreCall::Get(TABLE_KEY.into())).await {
-        Ok(StoreAnswer::Item(Some(item))) => (item.revision, item.value),
-        Ok(StoreAnswer::Item(None)) => return TableWrite::Earlier(Revision::ABSENT),
+        Ok(StoreAnswer::Item { item: Some(item), .. }) => (item.revision, item.value),
+        Ok(StoreAnswer::Item { item: None, .. }) => return TableWrite::Earlier(Revision::ABSENT),
         _ => return TableWrite::Failed,
     };
     match serde_json::from_slice::<Table>(&held) {
--- a/crates/oriolehoist_edge/src/control/election.rs
+++ b/crates/oriolehoist_edge/src/control/election.rs
@@ -34,8 +34,8 @@
 pub(crate) async fn stand(store: &StoreClient, clock: Clock, me: &Member) -> Candidacy {
     let found = store.call(StoreCall::Get(ASSIGNER_KEY.into())).await;
     match found {
-        Ok(StoreAnswer::Item(None)) => take(store, clock, me).await,
-        Ok(StoreAnswer::Item(Some(item))) => {
+        Ok(StoreAnswer::Item { item: None, .. }) => take(store, clock, me).await,
+        Ok(StoreAnswer::Item { item: Some(item), at }) => {
             let holder = serde_json::from_slice::<Holder>(&item.value);
             let earlier_life = holder.ok().filter(|holder| {
                 holder.member.instance == me.instance && holder.member.incarnation != me.incarnation
@@ -51,7 +51,7 @@
                 }
                 None => {
                     let prefix = ASSIGNER_KEY.into();
-                    let call = StoreCall::Watch { prefix, after: item.revision, wait: WATCH_WAIT };
+                    let call = StoreCall::Watch { prefix, after: at, wait: WATCH_WAIT };
                     // Whatever it says, the next candidacy reads the key.
                     let _ = store.call(call).await;
                     Candidacy::Lost
@@ -93,7 +93,7 @@
 /// Reads the table; `None` if the store does not answer.
 async fn read_table(store: &StoreClient) -> Option<Option<(Revision, Bytes)>> {
     match store.call(StoreCall::Get(TABLE_KEY.into())).await {
-        Ok(StoreAnswer::Item(item)) => Some(item.map(|item| (item.revision, item.value))),
+        Ok(StoreAnswer::Item { item, .. }) => Some(item.map(|item| (item.revision, item.value))),
         _ => None,
     }
 }
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -28,6 +28,8 @@
 const MEMBERS_WAIT: Millis = Millis(8000);
 /// The pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// The pause before reading anew when the store has dropped its history.
+const HISTORY_PAUSE: Duration = Duration::from_millis(100);
 /// The pause between two readings of the servers, so that changes at the same time come together.
 const SERVERS_PAUSE: Duration = Duration::from_millis(200);
 /// How often a reader that is not needed looks whether it is.
@@ -88,8 +90,8 @@
         loop {
             let Some(revision) = after else {
                 match self.store.call(StoreCall::Get(key.into())).await {
-                    Ok(StoreAnswer::Item(Some(item))) => {
-                        after = Some(item.revision);
+                    Ok(StoreAnswer::Item { item: Some(item), at }) => {
+                        after = Some(at);
                         self.tell(Input::Config(item.value)).await;
                     }
                     _ => sleep(FAILURE_PAUSE).await,
@@ -106,7 +108,11 @@
                     }
                     after = Some(at.max(revision));
                 }
-                Ok(_) => after = None,
+                // The history is gone: the configuration is read anew, from where it goes on.
+                Ok(_) => {
+                    after = None;
+                    sleep(HISTORY_PAUSE).await;
+                }
                 Err(_) => {
                     // A change may have been missed: read it anew.
                     after = None;
--- a/crates/oriolehoist_keyspace/src/keeper.rs
+++ b/crates/oriolehoist_keyspace/src/keeper.rs
@@ -12,6 +12,10 @@
     std::collections::HashMap,
 };
 
+/// The wait for a lost owner is told in steps of this length, since every change is sent to all
+/// daemons.
+const LOST_STEP: Millis = Millis(500);
+
 /// The ownership of one service's keys, as its assigner sees it.
 #[derive(Debug, Default)]
 pub struct Keeper {
@@ -180,7 +184,10 @@
                     let silent = self.server(ending.former.server).failures > 1;
                     ending.until.filter(|until| (silent || ending.released) && *until > now)
                 });
-                blocked.max().map_or(Holder::Moving, |until| Holder::Lost(until.since(now)))
+                blocked.max().map_or(Holder::Moving, |until| {
+                    let steps = until.since(now).0.div_ceil(LOST_STEP.0);
+                    Holder::Lost(LOST_STEP * steps)
+                })
             }
             Step::Planned { renewed: None, .. } | Step::Granting { .. } => Holder::Moving,
         }
--- a/crates/oriolehoist_keyspace/src/routes.rs
+++ b/crates/oriolehoist_keyspace/src/routes.rs
@@ -27,9 +27,70 @@
 
 /// The ranges of one service, in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(from = "CompactRoutes", into = "CompactRoutes")]
 pub struct KeyRoutes(pub Vec<RoutedRange>);
 
+/// Routes as daemons send them to each other: each server is named once, since bytes between
+/// availability zones cost.
+#[derive(Serialize, Deserialize)]
+struct CompactRoutes {
+    lives: Vec<Life>,
+    /// First and last key, with the holder.
+    ranges: Vec<(u16, u16, CompactHolder)>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum CompactHolder {
+    /// The position among the lives.
+    L(u16),
+    M,
+    /// Milliseconds.
+    X(u64),
+}
+
+impl From<KeyRoutes> for CompactRoutes {
+    fn from(routes: KeyRoutes) -> CompactRoutes {
+        let mut lives: Vec<Life> = Vec::new();
+        let mut position = |life: Life| {
+            let known = lives.iter().position(|known| *known == life);
+            let position = known.unwrap_or_else(|| {
+                lives.push(life);
+                lives.len() - 1
+            });
+            CompactHolder::L(position as u16)
+        };
+        let ranges = routes.0.into_iter().map(|routed| {
+            let holder = match routed.holder {
+                Holder::Server(life) => position(life),
+                Holder::Moving => CompactHolder::M,
+                Holder::Lost(wait) => CompactHolder::X(wait.0),
+            };
+            (routed.range.first, routed.range.last, holder)
+        });
+        let ranges = ranges.collect();
+        CompactRoutes { lives, ranges }
+    }
+}
+
+impl From<CompactRoutes> for KeyRoutes {
+    fn from(compact: CompactRoutes) -> KeyRoutes {
+        let CompactRoutes { lives, ranges } = compact;
+        let holder = |compact| match compact {
+            // A position without a life comes from a malformed message; nobody holds the range.
+            CompactHolder::L(position) => {
+                lives.get(usize::from(position)).cloned().map_or(Holder::Moving, Holder::Server)
+            }
+            CompactHolder::M => Holder::Moving,
+            CompactHolder::X(wait) => Holder::Lost(Millis(wait)),
+        };
+        let routed = |(first, last, compact)| RoutedRange {
+            range: KeyRange { first, last },
+            holder: holder(compact),
+        };
+        KeyRoutes(ranges.into_iter().map(routed).collect())
+    }
+}
+
 impl KeyRoutes {
     /// Returns who serves `key`; `None` before the first assignment.
     pub fn holder(&self, key: u16) -> Option<&Holder> {
--- a/crates/oriolehoist_port/src/store.rs
+++ b/crates/oriolehoist_port/src/store.rs
@@ -157,7 +157,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreAnswer {
     /// To [`StoreCall::Get`].
-    Item(Option<Item>),
+    Item {
+        /// The item, if the key exists.
+        item: Option<Item>,
+        /// The store's revision, from where a watch can continue; that of the item if the store
+        /// does not say.
+        at: Revision,
+    },
     /// To [`StoreCall::List`].
     Page {
         /// The items.
