Place keys by load and speed, and refuse what would miss its objective

Changes: daemons report requests by key and the work of each server, and the assigner moves the fewest keys with the most load; orders to a server go in turn; a new connection is not used before a reset could have come; a request is refused at once when the queue makes it miss its objective, unless it has come back; a candidate without an answer reads whether it won; a starting daemon routes by the stored table.

--- a/crates/oriolehoist_admission/src/gauge.rs
+++ b/crates/oriolehoist_admission/src/gauge.rs
@@ -4,6 +4,8 @@
 const WORK_WEIGHT: f64 = 0.15;
 /// The time after which what a server said of its queue counts half.
 const REPORT_HALF_LIFE: Millis = Millis(400);
+/// How many answers make the measured work worth telling.
+const MEASURED_AFTER: u32 = 5;
 /// How long a server that shed is taken as full, the first time; it doubles with each further one.
 const SHED_PAUSE: Millis = Millis(60);
 /// The longest such time.
@@ -24,6 +26,7 @@
     told_at: Millis,
     /// The mean time that the server takes for a request, in milliseconds.
     work: f64,
+    answers: u32,
     sheds: u32,
     shed_until: Millis,
 }
@@ -57,6 +60,7 @@
             others: 0.0,
             told_at: Millis::ZERO,
             work: work.0 as f64,
+            answers: 0,
             sheds: 0,
             shed_until: Millis::ZERO,
         }
@@ -86,6 +90,7 @@
             AtServerEnd::Answered => {
                 let turns = ((at.occupancy + 1.0) / self.slots).max(1.0);
                 self.work += WORK_WEIGHT * (took / turns - self.work);
+                self.answers = self.answers.saturating_add(1);
                 self.sheds = 0;
             }
             AtServerEnd::Shed => {
@@ -100,6 +105,11 @@
         }
     }
 
+    /// Returns the mean time that the server takes for a request, once enough were measured.
+    pub fn measured_work(&self) -> Option<Millis> {
+        (self.answers >= MEASURED_AFTER).then_some(Millis(self.work as u64))
+    }
+
     /// Returns how long a request would wait there before it runs.
     pub fn wait(&self, now: Millis) -> Millis {
         let ahead = (self.occupancy(now) + 1.0 - self.slots).max(0.0);
--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -9,12 +9,15 @@
     smol_str::SmolStr,
     std::{
         collections::HashMap,
+        io,
         net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex, MutexGuard,
             atomic::{AtomicU32, AtomicU64, Ordering},
         },
+        time::Duration,
     },
+    tokio::time::sleep,
 };
 
 /// The longest wait for a connection to a server.
@@ -23,6 +26,8 @@
 const IDLE_TIMEOUT: Millis = Millis(4000);
 /// How much earlier than the server this side gives an idle connection up.
 const IDLE_MARGIN: Millis = Millis(1000);
+/// How soon a server resets a connection that it does not accept.
+const RESET_WAIT: Duration = Duration::from_millis(2);
 /// The work that is expected of a server that has not answered yet.
 const FIRST_WORK: Millis = Millis(120);
 /// A server that starts is about this much slower than later.
@@ -116,7 +121,7 @@
     ) -> Result<Answered, CallError> {
         let mut link = match self.take_idle() {
             Some(link) => link,
-            None => Link::open(self.source, self.address, CONNECT_WAIT).await?,
+            None => self.open().await?,
         };
         let called = link.call(method, message, Some(id), sent).await;
         match &called {
@@ -127,6 +132,17 @@
         called
     }
 
+    /// Opens a connection, and waits whether the server resets it for being one too many: nothing
+    /// has then been sent.
+    async fn open(&self) -> Result<Link, CallError> {
+        let link = Link::open(self.source, self.address, CONNECT_WAIT).await?;
+        sleep(RESET_WAIT).await;
+        match link.is_quiet() {
+            true => Ok(link),
+            false => Err(CallError::Connect(io::ErrorKind::ConnectionReset.into())),
+        }
+    }
+
     fn take_idle(&self) -> Option<Link> {
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -144,7 +160,7 @@
             Some(seconds) => Millis(Millis::from_secs(seconds).0.saturating_sub(IDLE_MARGIN.0)),
             None => IDLE_TIMEOUT,
         };
-        let until = self.clock.now() + timeout.min(IDLE_TIMEOUT);
+        let until = self.clock.now() + timeout;
         let mut idle = self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         idle.push(Idle { link, until });
     }
--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -15,6 +15,7 @@
         actor::ActorRef,
         message::{Context, Message},
     },
+    oriolehoist_keyspace::Table,
     oriolehoist_log::{Event, report},
     oriolehoist_port::StoreCall,
     oriolehoist_time::Millis,
@@ -116,8 +117,8 @@
                 self.step_down("the lease could not be renewed");
             }
             Role::Assigner(assigner) => {
-                let own = self.cx.take_key_counts();
-                assigner.on_load(now, &own);
+                let own = self.cx.take_load();
+                assigner.on_load(&own);
                 let routes = assigner.tick(&self.cx, &self.store, me);
                 if routes != self.known.routes {
                     let stamp = self.next_stamp(self.known.versions.routes);
@@ -228,6 +229,21 @@
                     self.sync_peers(me, false);
                 }
             }
+            Input::StoredTable(bytes) => {
+                let first = self.known.versions.routes == Stamp::default();
+                match serde_json::from_slice::<Table>(&bytes) {
+                    Ok(table) if first => {
+                        self.known.routes = table.routes();
+                        self.known.publish(&self.cx);
+                        self.update_readiness();
+                    }
+                    Ok(_) => {}
+                    Err(error) => {
+                        let text = format_args!("table=\"{error}\"");
+                        report(Event::TermAttemptFailed, text);
+                    }
+                }
+            }
             Input::ServersUnread => self.watching_servers = false,
             Input::Servers { began, list } => {
                 self.watching_servers = true;
@@ -261,7 +277,7 @@
                 let newer = answer.as_ref().and_then(|answer| answer.config.clone());
                 let higher = answer.as_ref().is_some_and(|answer| answer.term > self.term);
                 if let Role::Assigner(assigner) = &mut self.role {
-                    assigner.on_synced(now, &to, answer.as_ref());
+                    assigner.on_synced(&to, answer.as_ref());
                 }
                 if let Some(bytes) = newer {
                     self.on_input(me, Input::Config(bytes));
@@ -332,7 +348,7 @@
             term: self.term,
             versions: Versions { config: self.known.versions.config, ..lacks },
             config: None,
-            load: self.cx.take_key_counts(),
+            load: self.cx.take_load(),
         }
     }
 
--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -14,7 +14,7 @@
     },
     bytes::Bytes,
     kameo::actor::ActorRef,
-    oriolehoist_keyspace::{Fences, Flight, HOLD, Keeper, KeyRoutes, OrderEnd, Table},
+    oriolehoist_keyspace::{Fences, Flight, HOLD, Keeper, KeyRoutes, LoadReport, OrderEnd, Table},
     oriolehoist_log::{Event, report},
     oriolehoist_port::{Commit, LeaseId, Revision, StoreAnswer, StoreCall},
     oriolehoist_time::Millis,
@@ -319,27 +319,23 @@
     }
 
     /// Notes a peer's answer, or that there was none.
-    pub(crate) fn on_synced(&mut self, now: Millis, to: &Member, answer: Option<&SyncAnswer>) {
+    pub(crate) fn on_synced(&mut self, to: &Member, answer: Option<&SyncAnswer>) {
         let peer = self.peers.entry(to.instance.clone()).or_default();
         peer.in_flight = false;
         match answer {
             Some(answer) => {
                 peer.versions = answer.versions;
-                self.on_load(now, &answer.load);
+                self.on_load(&answer.load);
             }
             None => peer.versions = Versions::default(),
         }
     }
 
     /// Notes the requests for keys that a daemon counted.
-    pub(crate) fn on_load(
-        &mut self,
-        now: Millis,
-        load: &[(SmolStr, oriolehoist_keyspace::LoadReport)],
-    ) {
+    pub(crate) fn on_load(&mut self, load: &[(SmolStr, LoadReport)]) {
         for (service, report) in load {
             if let Some(keeper) = self.keepers.get_mut(service) {
-                keeper.on_load(now, report);
+                keeper.on_load(report);
             }
         }
     }
--- a/crates/oriolehoist_edge/src/control/election.rs
+++ b/crates/oriolehoist_edge/src/control/election.rs
@@ -3,7 +3,7 @@
 use {
     crate::control::{
         message::{Candidacy, Member, Won},
-        store::StoreClient,
+        store::{StoreClient, StoreError},
     },
     bytes::Bytes,
     oriolehoist_port::{Commit, LeaseId, Revision, StoreAnswer, StoreCall},
@@ -20,6 +20,8 @@
 /// How long the assigner's lease lasts without a renewal. A grant outlasts it, so that another
 /// daemon can take over before one lapses.
 pub(crate) const ASSIGNER_LEASE: Millis = Millis(2000);
+/// How often a lease is asked for when the store gives no answer.
+const LEASE_ATTEMPTS: u32 = 3;
 /// The longest wait for the end of another daemon's lease, before looking again.
 const WATCH_WAIT: Millis = Millis(3000);
 
@@ -42,12 +44,10 @@
             });
             match earlier_life {
                 Some(holder) => {
-                    // An earlier life of this daemon gives no orders any more.
-                    let ended = store.call(StoreCall::EndLease(holder.lease)).await;
-                    match ended {
-                        Ok(_) => take(store, clock, me).await,
-                        Err(_) => Candidacy::Lost,
-                    }
+                    // An earlier life of this daemon gives no orders any more. Without an answer
+                    // the lease may have ended all the same.
+                    let _ = store.call(StoreCall::EndLease(holder.lease)).await;
+                    take(store, clock, me).await
                 }
                 None => {
                     let prefix = ASSIGNER_KEY.into();
@@ -63,23 +63,24 @@
 }
 
 async fn take(store: &StoreClient, clock: Clock, me: &Member) -> Candidacy {
-    let sent = clock.now();
-    let opened = store.call(StoreCall::OpenLease(ASSIGNER_LEASE)).await;
-    let Ok(StoreAnswer::Lease { id: Some(lease), length }) = opened else {
-        return Candidacy::Lost;
-    };
+    let Some((lease, until)) = open_lease(store, clock).await else { return Candidacy::Lost };
     let holder = Holder { member: me.clone(), lease };
     let Ok(value) = serde_json::to_vec(&holder) else { return Candidacy::Lost };
     let commit = Commit::default().expect(ASSIGNER_KEY, Revision::ABSENT).put(
         ASSIGNER_KEY,
-        value,
+        value.clone(),
         Some(lease),
     );
-    // Without an answer the write may take effect; the key then ends with its lease, unused.
-    let Ok(StoreAnswer::Committed(term)) = store.call(StoreCall::Commit(commit)).await else {
-        return Candidacy::Lost;
+    let term = match store.call(StoreCall::Commit(commit)).await {
+        Ok(StoreAnswer::Committed(term)) => term,
+        // The write may have taken effect. If it does later, the key ends with its lease, unused.
+        Err(StoreError::Unknown) => match store.call(StoreCall::Get(ASSIGNER_KEY.into())).await {
+            Ok(StoreAnswer::Item { item: Some(item), .. }) if item.value == value => item.revision,
+            _ => return Candidacy::Lost,
+        },
+        _ => return Candidacy::Lost,
     };
-    let won = Won { term, lease, until: sent + length };
+    let won = Won { term, lease, until };
     match read_table(store).await {
         Some(table) => Candidacy::Won { won, table },
         None => {
@@ -90,6 +91,22 @@
     }
 }
 
+/// Opens a lease. Returns until when it lasts at least.
+async fn open_lease(store: &StoreClient, clock: Clock) -> Option<(LeaseId, Millis)> {
+    for _ in 0..LEASE_ATTEMPTS {
+        let sent = clock.now();
+        match store.call(StoreCall::OpenLease(ASSIGNER_LEASE)).await {
+            Ok(StoreAnswer::Lease { id: Some(lease), length }) => {
+                return Some((lease, sent + length));
+            }
+            // One that was opened without an answer ends by itself.
+            Err(StoreError::Unknown) => {}
+            _ => return None,
+        }
+    }
+    None
+}
+
 /// Reads the table; `None` if the store does not answer.
 async fn read_table(store: &StoreClient) -> Option<Option<(Revision, Bytes)>> {
     match store.call(StoreCall::Get(TABLE_KEY.into())).await {
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -78,6 +78,8 @@
     Config(Bytes),
     /// The servers were read in the store by a reading that began at this time.
     Servers { began: Millis, list: ServerList },
+    /// The stored table was read.
+    StoredTable(Bytes),
     /// The servers could not be read.
     ServersUnread,
     /// The members were read in the store.
--- a/crates/oriolehoist_edge/src/control/orders.rs
+++ b/crates/oriolehoist_edge/src/control/orders.rs
@@ -9,7 +9,7 @@
     oriolehoist_http1::encode_request,
     oriolehoist_keyspace::{OrderEnd, OrderToSend},
     oriolehoist_log::{Event, report},
-    oriolehoist_port::OrderAnswer,
+    oriolehoist_port::{Order, OrderAnswer},
     oriolehoist_time::Millis,
     std::{
         collections::HashMap,
@@ -20,7 +20,7 @@
         },
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::{sync::Semaphore, time::timeout},
 };
 
 /// The longest wait for a connection to a server.
@@ -28,18 +28,28 @@
 /// How long an idle connection is used again.
 const IDLE_TIMEOUT: Millis = Millis(2500);
 
+/// How many releases to one server may be on their way: they answer after the work that runs.
+const RELEASES_AT_ONCE: usize = 3;
+
+/// Orders to one server go one after the other, since it takes few connections.
+struct Lane {
+    turns: Semaphore,
+    failures: AtomicU64,
+}
+
 /// Sends the orders of one term, and stops when the permission ends.
 pub(crate) struct OrderSender {
     cx: Arc<Shared>,
     /// Until when this daemon is certainly the assigner.
     permitted_until: AtomicU64,
+    lanes: Mutex<HashMap<(SocketAddr, bool), Arc<Lane>>>,
     idle: Mutex<HashMap<SocketAddr, Vec<(Millis, Link)>>>,
 }
 
 impl OrderSender {
     pub(crate) fn new(cx: Arc<Shared>, permitted_until: Millis) -> OrderSender {
         let permitted_until = AtomicU64::new(permitted_until.0);
-        OrderSender { cx, permitted_until, idle: Mutex::default() }
+        OrderSender { cx, permitted_until, lanes: Mutex::default(), idle: Mutex::default() }
     }
 
     pub(crate) fn permitted_until(&self) -> Millis {
@@ -62,7 +72,7 @@
 
     /// Sends an order and waits for its end.
     pub(crate) async fn send(&self, to: &OrderToSend) -> OrderEnd {
-        let end = self.exchange(to).await;
+        let end = self.send_in_turn(to).await;
         let name = match &end {
             OrderEnd::Answered(OrderAnswer::Done(_)) => "done",
             OrderEnd::Answered(OrderAnswer::HigherFence) => "higher-fence",
@@ -78,6 +88,30 @@
         end
     }
 
+    /// Waits for the order's turn. What waited while an earlier order failed is not sent.
+    async fn send_in_turn(&self, to: &OrderToSend) -> OrderEnd {
+        let is_release = matches!(to.order, Order::Release { .. });
+        let lane = self.lane(to.address, is_release);
+        let failures = lane.failures.load(Ordering::Relaxed);
+        // The semaphore is never closed.
+        let Ok(_turn) = lane.turns.acquire().await else { return OrderEnd::Unsent };
+        if lane.failures.load(Ordering::Relaxed) != failures {
+            return OrderEnd::Unsent;
+        }
+        let end = self.exchange(to).await;
+        if !matches!(end, OrderEnd::Answered(_)) {
+            lane.failures.fetch_add(1, Ordering::Relaxed);
+        }
+        end
+    }
+
+    fn lane(&self, address: SocketAddr, is_release: bool) -> Arc<Lane> {
+        let turns = if is_release { RELEASES_AT_ONCE } else { 1 };
+        let new = || Lane { turns: Semaphore::new(turns), failures: AtomicU64::new(0) };
+        let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(lanes.entry((address, is_release)).or_insert_with(|| Arc::new(new())))
+    }
+
     async fn exchange(&self, to: &OrderToSend) -> OrderEnd {
         let http = self.cx.platform.order(&to.order);
         let mut headers = HeaderMap::new();
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -5,7 +5,7 @@
         control::{
             Control, StoreClient,
             actor::{AskReading, Reading, Reply},
-            election::MEMBERS_PREFIX,
+            election::{MEMBERS_PREFIX, TABLE_KEY},
             message::{Input, Member},
             peers::ask_knowledge,
             servers::ServerReader,
@@ -38,6 +38,8 @@
 const MEMBER_LEASE: Millis = Millis::from_secs(15);
 /// Time between renewals of a member's entry.
 const MEMBER_INTERVAL: Duration = Duration::from_millis(4000);
+/// How often a starting daemon tries to read the stored table.
+const TABLE_ATTEMPTS: u32 = 20;
 /// How long a starting daemon waits for the store before it asks its seeds.
 const SEEDS_AFTER: Duration = Duration::from_millis(700);
 
@@ -54,6 +56,7 @@
     tokio::spawn(feed.clone().follow_servers());
     tokio::spawn(feed.clone().follow_members());
     tokio::spawn(feed.clone().register(me.clone()));
+    tokio::spawn(feed.clone().read_table());
     tokio::spawn(feed.ask_seeds());
 }
 
@@ -230,6 +233,22 @@
         }
     }
 
+    /// Reads the stored table once: until an assigner is heard it says who most likely holds which
+    /// keys, also after all daemons were lost.
+    async fn read_table(self) {
+        for _ in 0..TABLE_ATTEMPTS {
+            match self.store.call(StoreCall::Get(TABLE_KEY.into())).await {
+                Ok(StoreAnswer::Item { item, .. }) => {
+                    if let Some(item) = item {
+                        self.tell(Input::StoredTable(item.value)).await;
+                    }
+                    return;
+                }
+                _ => sleep(FAILURE_PAUSE).await,
+            }
+        }
+    }
+
     /// Asks the seeds for what they know while the store does not answer a daemon that starts.
     async fn ask_seeds(self) {
         loop {
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -1,7 +1,7 @@
 use {
     crate::{connection::Link, process::Metrics, version::ViewCell},
     oriolehoist_admission::RetryBudget,
-    oriolehoist_keyspace::{BUCKET_KEYS, LoadReport},
+    oriolehoist_keyspace::LoadReport,
     oriolehoist_port::{Boot, CallerLimits, Platform},
     oriolehoist_time::{Clock, Millis},
     serde::{Deserialize, Serialize},
@@ -27,6 +27,8 @@
 /// The part of the agreed retries that is used; the rest covers uneven shares of the traffic.
 const RETRY_MARGIN: f64 = 0.7;
 
+/// Time between reports of how fast the servers are.
+const WORK_REPORT_INTERVAL: Millis = Millis(800);
 /// How long an idle connection to a peer is used again.
 const PEER_IDLE_TIMEOUT: Millis = Millis(3000);
 
@@ -44,6 +46,7 @@
     connections: AtomicUsize,
     retries: Mutex<HashMap<SmolStr, RetryBudget>>,
     key_counts: Mutex<BTreeMap<SmolStr, HashMap<u16, u32>>>,
+    work_reported: AtomicU64,
     peer_links: Mutex<HashMap<SocketAddr, (Millis, Link)>>,
 }
 
@@ -62,6 +65,7 @@
             connections: AtomicUsize::new(0),
             retries: Mutex::default(),
             key_counts: Mutex::default(),
+            work_reported: AtomicU64::new(0),
             peer_links: Mutex::default(),
         })
     }
@@ -137,16 +141,29 @@
 
     /// Counts a request for a key.
     pub(crate) fn count_key(&self, service: &SmolStr, key: u16) {
-        let bucket = key / BUCKET_KEYS as u16;
         let mut counts = lock(&self.key_counts);
-        *counts.entry(service.clone()).or_default().entry(bucket).or_default() += 1;
+        *counts.entry(service.clone()).or_default().entry(key).or_default() += 1;
     }
 
-    /// Takes what was counted since the last time.
-    pub(crate) fn take_key_counts(&self) -> Vec<(SmolStr, LoadReport)> {
+    /// Takes what was counted since the last time, and now and then how fast the servers are.
+    pub(crate) fn take_load(&self) -> Vec<(SmolStr, LoadReport)> {
         let counts = std::mem::take(&mut *lock(&self.key_counts));
-        let report = |buckets: HashMap<u16, u32>| LoadReport(buckets.into_iter().collect());
-        counts.into_iter().map(|(service, buckets)| (service, report(buckets))).collect()
+        let now = self.clock.now();
+        let due = self.work_reported.load(Ordering::Relaxed) + WORK_REPORT_INTERVAL.0 <= now.0;
+        let view = self.view.load().filter(|_| due);
+        if due {
+            self.work_reported.store(now.0, Ordering::Relaxed);
+        }
+        let report = |(service, keys): (SmolStr, HashMap<u16, u32>)| {
+            let servers = view.iter().filter_map(|view| view.services.get(&service)).flatten();
+            let work = servers.filter_map(|server| {
+                let work = server.gauge().measured_work()?;
+                Some((server.life.id.clone(), u32::try_from(work.0).unwrap_or(u32::MAX)))
+            });
+            let work = work.collect();
+            (service, LoadReport { keys: keys.into_iter().collect(), work })
+        };
+        counts.into_iter().map(report).collect()
     }
 }
 
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -42,6 +42,8 @@
     pub(crate) deadline: Millis,
     /// Until when an answer has its full value.
     pub(crate) objective: Millis,
+    /// The caller has less time than the route gives: it was refused before.
+    pub(crate) returned: bool,
     /// The key, for a service that is split by key.
     pub(crate) key: Option<u16>,
     pub(crate) service: SmolStr,
@@ -162,17 +164,28 @@
 }
 
 /// Refuses a request at once that the server could not finish in time.
+///
+/// Answers servers that many daemons share: a queue in which everything becomes late serves nobody
+/// better than a short one, and a caller that is refused at once has time to come back. One that
+/// has come back has no such time, and is only refused if its deadline can't be met.
 fn too_late(cx: &Shared, job: &Job, backend: &Backend) -> Option<Refusal> {
     let now = cx.clock.now();
-    let wait = backend.gauge().wait(now);
-    let refuse = |rule| {
-        let come_back = wait.max(SOON);
-        Some(Refusal::new(Kind::Overloaded, rule).come_back(come_back))
+    let (wait, expected) = {
+        let gauge = backend.gauge();
+        (gauge.wait(now), gauge.expected(now))
     };
+    let refuse =
+        |rule, after: Millis| Some(Refusal::new(Kind::Overloaded, rule).come_back(after.max(SOON)));
+    let over = (now + expected).since(job.objective);
     match () {
-        () if now >= job.deadline => refuse("the deadline has passed"),
-        () if now + wait > job.deadline => refuse("the server's queue is longer than the deadline"),
-        () if backend.is_at_share() => refuse("this daemon's share of the server is in use"),
+        () if now >= job.deadline => refuse("the deadline has passed", SOON),
+        () if now + wait > job.deadline => {
+            refuse("the server's queue is longer than the deadline", wait)
+        }
+        () if !job.returned && wait > Millis::ZERO && over > Millis::ZERO => {
+            refuse("the server's queue is longer than the objective", over)
+        }
+        () if backend.is_at_share() => refuse("this daemon's share of the server is in use", wait),
         () => None,
     }
 }
--- a/crates/oriolehoist_edge/src/request/respond.rs
+++ b/crates/oriolehoist_edge/src/request/respond.rs
@@ -20,6 +20,8 @@
 
 /// The longest time that is granted to a request that names no deadline.
 const USUAL_DEADLINE: Millis = Millis(5000);
+/// A caller that has this much less time than the route gives has tried before.
+const RETURNED_AFTER: Millis = Millis(20);
 /// A request slower than this many times its objective is logged.
 const LATE_FACTOR: u64 = 1;
 
@@ -110,6 +112,7 @@
     }
     let wait = text(&names.deadline).and_then(|deadline| deadline.parse().ok());
     let wait = wait.map_or(USUAL_DEADLINE, Millis).min(route.timeout);
+    let spent = route.timeout.since(wait);
     let forwarded = forwarded_headers(&request.head.headers, &names.expected_server);
     Ok(Job {
         id: id.unwrap_or_else(|| HeaderValue::from_static("")),
@@ -119,7 +122,8 @@
         body: request.body,
         arrived: request.arrived,
         deadline: request.arrived + wait,
-        objective: request.arrived + route.objective,
+        objective: request.arrived + Millis(route.objective.since(spent).0),
+        returned: spent > RETURNED_AFTER,
         key: key.filter(|_| by_key),
         service,
         route,
--- a/crates/oriolehoist_keyspace/src/lib.rs
+++ b/crates/oriolehoist_keyspace/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use {
     keeper::Keeper,
-    load::{BUCKET_KEYS, LoadReport},
+    load::LoadReport,
     orders::{Flight, OrderEnd, OrderToSend},
     routes::{Holder, KeyRoutes, RoutedRange},
     table::{Assigned, Fences, Life, Table},
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -1,7 +1,6 @@
 use {
     crate::{
         Fences, Keeper,
-        load::BUCKET_KEYS,
         server::{ServerKey, Standing},
         slice::{Slice, Step},
     },
@@ -10,19 +9,23 @@
 };
 
 /// Time between looks at the balance, so that the load settles after a move.
-const BALANCE_INTERVAL: Millis = Millis(700);
-/// A server this far above the mean load for its slots gives keys away.
-const TOO_BUSY: f32 = 1.25;
-/// Below this many requests a second for each slot, balance is not worth a move.
-const WORTH_BALANCING: f32 = 1.0;
+const BALANCE_INTERVAL: Millis = Millis(500);
+/// A server that is used this much more than the mean gives keys away.
+const TOO_BUSY: f32 = 1.15;
+/// A server that is used less than this share of its time keeps its keys.
+const WORTH_BALANCING: f32 = 0.25;
 /// The greatest number of moves that one look starts.
-const MOVES_AT_ONCE: usize = 6;
+const MOVES_AT_ONCE: usize = 8;
 /// The greatest number of ranges, which bounds the renewals and the size of the table.
-const MOST_SLICES: usize = 160;
-/// The greatest share of all keys that one move for balance may take.
-const MOST_KEYS_MOVED: u32 = 1 << 11;
+const MOST_SLICES: usize = 200;
+/// The greatest number of keys that one move for balance may take.
+const MOST_KEYS_MOVED: u16 = 1 << 11;
 /// Into how many parts the range of a server that left is cut at most.
 const PARTS_OF_LEFT_RANGE: u32 = 3;
+/// What a range without load counts when ranges are given to servers, in requests a second.
+const LEAST_RATE: f32 = 0.5;
+/// The work of a request while no server's is known, in milliseconds.
+const USUAL_WORK: f32 = 100.0;
 
 impl Keeper {
     /// Gives ranges that no usable server owns to others.
@@ -61,10 +64,11 @@
                 None => self.cut(index, PARTS_OF_LEFT_RANGE),
             };
             for part in index..index + parts {
-                let to = successor.unwrap_or_else(|| least_loaded(&loads));
-                let load = self.load.of(self.slices[part].range).max(0.001);
-                if let Some(entry) = loads.iter_mut().find(|entry| entry.0 == to) {
-                    entry.1 += load / entry.2;
+                let least = least_used(&loads).unwrap_or_default();
+                let to = successor.unwrap_or(loads[least].key);
+                let rate = self.load.of(self.slices[part].range).max(LEAST_RATE);
+                if let Some(load) = loads.iter_mut().find(|load| load.key == to) {
+                    load.rate += rate;
                 }
                 self.slices[part].reassign(to, version, fences.issue());
             }
@@ -75,40 +79,36 @@
     }
 
     /// Moves the busiest keys of servers that have too much to those that have least.
+    ///
+    /// Answers a load that gathers on few keys: the price of a move is its share of all keys, so
+    /// the fewest keys with the most load are moved.
     pub(crate) fn balance(&mut self, now: Millis, version: u64, fences: &mut Fences) -> bool {
-        if now.since(self.balanced_at) < BALANCE_INTERVAL
-            || self.slices.iter().filter(|slice| slice.step != Step::Held).count() > MOVES_AT_ONCE
-        {
+        let moving = self.slices.iter().filter(|slice| slice.step != Step::Held).count();
+        if now.since(self.balanced_at) < BALANCE_INTERVAL || moving > MOVES_AT_ONCE {
             return false;
         }
         self.balanced_at = now;
+        self.load.decay(now);
         let usable = self.usable(now);
         let mut loads = self.loads(&usable);
-        let slots: f32 = loads.iter().map(|entry| entry.2).sum();
-        let mean = loads.iter().map(|entry| entry.1 * entry.2).sum::<f32>() / slots.max(1.0);
+        let rate: f32 = loads.iter().map(|load| load.rate).sum();
+        let mean = rate / loads.iter().map(|load| load.capacity).sum::<f32>().max(0.001);
         let mut changed = false;
         for _ in 0..MOVES_AT_ONCE {
-            if mean < WORTH_BALANCING || self.slices.len() >= MOST_SLICES {
+            let (Some(busiest), Some(least)) = (busiest(&loads), least_used(&loads)) else { break };
+            let (from, to) = (loads[busiest], loads[least]);
+            let enough = from.use_share() < (mean * TOO_BUSY).max(WORTH_BALANCING);
+            if enough || self.slices.len() >= MOST_SLICES {
                 break;
             }
-            let Some(&busiest) = loads.iter().max_by(|a, b| a.1.total_cmp(&b.1)) else { break };
-            let least = least_loaded(&loads);
-            let Some(&least) = loads.iter().find(|entry| entry.0 == least) else { break };
-            if busiest.1 < mean * TOO_BUSY {
-                break;
-            }
-            // What brings the busiest to the mean, but not the other far above it.
-            let wanted = ((busiest.1 - mean) * busiest.2).min((mean * 1.1 - least.1) * least.2);
-            let Some((index, range, load)) = self.busy_piece(busiest.0, wanted) else { break };
-            let part = self.carve(index, range);
-            self.slices[part].reassign(least.0, version, fences.issue());
-            for entry in &mut loads {
-                match entry.0 {
-                    key if key == busiest.0 => entry.1 -= load / entry.2,
-                    key if key == least.0 => entry.1 += load / entry.2,
-                    _ => {}
-                }
-            }
+            // What brings the one down to the mean, but not the other above it.
+            let over = (from.use_share() - mean) * from.capacity;
+            let room = (mean - to.use_share()) * to.capacity;
+            let Some(piece) = self.busy_piece(from.key, over.min(room)) else { break };
+            let part = self.carve(piece.index, piece.range);
+            self.slices[part].reassign(to.key, version, fences.issue());
+            loads[busiest].rate -= piece.rate;
+            loads[least].rate += piece.rate;
             changed = true;
         }
         changed
@@ -119,19 +119,22 @@
         keys.filter(|key| self.server(*key).is_usable(now)).collect()
     }
 
-    /// Returns each server with its load for each slot, and its slots.
-    fn loads(&self, usable: &[ServerKey]) -> Vec<(ServerKey, f32, f32)> {
-        let load = |key: ServerKey| -> f32 {
-            let owned = self.slices.iter().filter(|slice| slice.owner == key);
-            owned.map(|slice| self.load.of(slice.range)).sum()
+    fn loads(&self, usable: &[ServerKey]) -> Vec<Load> {
+        let known: Vec<f32> = usable.iter().filter_map(|key| self.server(*key).work).collect();
+        let usual = match known.len() {
+            0 => USUAL_WORK,
+            count => known.iter().sum::<f32>() / count as f32,
         };
-        usable
-            .iter()
-            .map(|key| {
-                let slots = self.server(*key).slots as f32;
-                (*key, load(*key) / slots, slots)
-            })
-            .collect()
+        let load = |key: &ServerKey| {
+            let server = self.server(*key);
+            let owned = self.slices.iter().filter(|slice| slice.owner == *key);
+            Load {
+                key: *key,
+                rate: owned.map(|slice| self.load.of(slice.range)).sum(),
+                capacity: server.slots as f32 * 1000.0 / server.work.unwrap_or(usual).max(1.0),
+            }
+        };
+        usable.iter().map(load).collect()
     }
 
     fn new_life_of(&self, key: ServerKey) -> Option<ServerKey> {
@@ -152,7 +155,6 @@
         for key in usable {
             given += self.server(*key).slots;
             let end = (u64::from(KeyRange::ALL.len()) * u64::from(given) / u64::from(slots)) as u32;
-            let end = end / BUCKET_KEYS * BUCKET_KEYS;
             if end > first {
                 let range = KeyRange { first: first as u16, last: (end - 1) as u16 };
                 let fence = fences.issue();
@@ -173,15 +175,13 @@
     /// Cuts a slice into `parts` of about the same number of keys. Returns how many there are.
     fn cut(&mut self, index: usize, parts: u32) -> usize {
         let range = self.slices[index].range;
-        let whole = range.len() / BUCKET_KEYS;
-        let parts = parts.min(whole.max(1));
-        if !range_is_aligned(range) || parts < 2 || self.slices.len() >= MOST_SLICES {
+        let parts = parts.min(range.len());
+        if parts < 2 || self.slices.len() >= MOST_SLICES {
             return 1;
         }
         let slice = self.slices[index].clone();
-        let bounds: Vec<u32> = (0..=parts)
-            .map(|part| u32::from(range.first) + whole * part / parts * BUCKET_KEYS)
-            .collect();
+        let bounds: Vec<u32> =
+            (0..=parts).map(|part| u32::from(range.first) + range.len() * part / parts).collect();
         let pieces = bounds.windows(2).map(|pair| Slice {
             range: KeyRange { first: pair[0] as u16, last: (pair[1] - 1) as u16 },
             ..slice.clone()
@@ -190,31 +190,16 @@
         parts as usize
     }
 
-    /// Returns the busiest run of neighbouring buckets of a server with at most `wanted` load.
-    fn busy_piece(&self, server: ServerKey, wanted: f32) -> Option<(usize, KeyRange, f32)> {
-        let mut best: Option<(usize, KeyRange, f32)> = None;
-        for (index, slice) in self.slices.iter().enumerate() {
-            if slice.owner != server || slice.step != Step::Held {
-                continue;
-            }
-            let mut first = u32::from(slice.range.first);
-            let mut next = first;
-            let mut load = 0.0;
-            while next <= u32::from(slice.range.last) {
-                let end = next + BUCKET_KEYS;
-                load += self.load.of(bucket_at(next));
-                while first < end && (load > wanted || end - first > MOST_KEYS_MOVED) {
-                    load -= self.load.of(bucket_at(first));
-                    first += BUCKET_KEYS;
-                }
-                if first < end && best.as_ref().is_none_or(|best| load > best.2) {
-                    let range = KeyRange { first: first as u16, last: (end - 1) as u16 };
-                    best = Some((index, range, load));
-                }
-                next = end;
-            }
-        }
-        best.filter(|(_, _, load)| *load > 0.0)
+    /// Returns the run of neighbouring keys of a server that has most load, at most `wanted`.
+    fn busy_piece(&self, server: ServerKey, wanted: f32) -> Option<Piece> {
+        let held = self.slices.iter().enumerate();
+        let held = held.filter(|(_, slice)| slice.owner == server && slice.step == Step::Held);
+        held.filter_map(|(index, slice)| {
+            let keys: Vec<(u16, f32)> = self.load.within(slice.range).collect();
+            let (range, rate) = busiest_run(&keys, wanted)?;
+            Some(Piece { index, range, rate })
+        })
+        .max_by(|a, b| a.rate.total_cmp(&b.rate))
     }
 
     /// Cuts `range` out of a slice. Returns where it is then.
@@ -237,15 +222,49 @@
     }
 }
 
-fn bucket_at(first: u32) -> KeyRange {
-    KeyRange { first: first as u16, last: (first + BUCKET_KEYS - 1) as u16 }
+/// A server with what it has and what it can do, in requests a second.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    key: ServerKey,
+    rate: f32,
+    capacity: f32,
+}
+
+impl Load {
+    fn use_share(&self) -> f32 {
+        self.rate / self.capacity
+    }
+}
+
+/// A run of keys within a slice.
+struct Piece {
+    index: usize,
+    range: KeyRange,
+    rate: f32,
+}
+
+/// Returns the run of keys with the most load, at most `wanted`, that is no wider than allowed.
+fn busiest_run(keys: &[(u16, f32)], wanted: f32) -> Option<(KeyRange, f32)> {
+    let mut best: Option<(KeyRange, f32)> = None;
+    let mut first = 0;
+    let mut rate = 0.0;
+    for (last, (key, load)) in keys.iter().enumerate() {
+        rate += load;
+        while first <= last && (rate > wanted || key - keys[first].0 >= MOST_KEYS_MOVED) {
+            rate -= keys[first].1;
+            first += 1;
+        }
+        if first <= last && best.as_ref().is_none_or(|best| rate > best.1) {
+            best = Some((KeyRange { first: keys[first].0, last: *key }, rate));
+        }
+    }
+    best
 }
 
-fn range_is_aligned(range: KeyRange) -> bool {
-    u32::from(range.first).is_multiple_of(BUCKET_KEYS) && range.len().is_multiple_of(BUCKET_KEYS)
+fn busiest(loads: &[Load]) -> Option<usize> {
+    (0..loads.len()).max_by(|a, b| loads[*a].use_share().total_cmp(&loads[*b].use_share()))
 }
 
-fn least_loaded(loads: &[(ServerKey, f32, f32)]) -> ServerKey {
-    let least = loads.iter().min_by(|a, b| a.1.total_cmp(&b.1));
-    least.map_or(ServerKey(0), |entry| entry.0)
+fn least_used(loads: &[Load]) -> Option<usize> {
+    (0..loads.len()).min_by(|a, b| loads[*a].use_share().total_cmp(&loads[*b].use_share()))
 }
--- a/crates/oriolehoist_keyspace/src/server.rs
+++ b/crates/oriolehoist_keyspace/src/server.rs
@@ -39,6 +39,8 @@
     pub(crate) next_renewal: Millis,
     pub(crate) failures: u32,
     pub(crate) last_answer: Millis,
+    /// How long it takes for a request, in milliseconds, as daemons measured it.
+    pub(crate) work: Option<f32>,
 }
 
 impl Server {
@@ -54,6 +56,7 @@
             next_renewal: now,
             failures: 0,
             last_answer: now,
+            work: None,
         }
     }
 
--- a/crates/oriolehoist_keyspace/src/table.rs
+++ b/crates/oriolehoist_keyspace/src/table.rs
@@ -1,4 +1,5 @@
 use {
+    crate::{Holder, KeyRoutes, RoutedRange},
     oriolehoist_port::KeyRange,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
@@ -40,6 +41,18 @@
     pub services: BTreeMap<SmolStr, Vec<Assigned>>,
 }
 
+impl Table {
+    /// Returns who most likely holds which keys.
+    pub fn routes(&self) -> BTreeMap<SmolStr, KeyRoutes> {
+        let routed = |assigned: &Assigned| RoutedRange {
+            range: assigned.range,
+            holder: Holder::Server(assigned.owner.clone()),
+        };
+        let routes = |assigned: &Vec<Assigned>| KeyRoutes(assigned.iter().map(routed).collect());
+        self.services.iter().map(|(name, assigned)| (name.clone(), routes(assigned))).collect()
+    }
+}
+
 /// Gives out fences, each higher than all before.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
