--- a/crates/oriolehoist_keyspace/src/lib.rs
+++ b/crates/oriolehoist_keyspace/src/lib.rs
@@ -4,9 +4,12 @@
 //! it is acted on, gives the orders that are due, and learns how they ended. It does no I/O and
 //! reads no clock. A range gets a new owner only on a proof that the earlier one has ended:
 //!
-//! - the earlier owner answered a release, and no order to it is without an answer;
-//! - its last possible grant has lapsed, by a clock that may run slow;
-//! - it started again, and every order to its earlier life is accounted for.
+//! - whoever listens at the earlier owner's address answered a release, and no grant that was sent
+//!   there is without an answer;
+//! - its last possible grant has lapsed, by a clock that may run slow.
+//!
+//! That a server has started again proves nothing by itself: the new life may have answered a
+//! grant that was meant for the earlier one.
 //!
 //! ```
 //! use {oriolehoist_keyspace::{Fences, Keeper}, oriolehoist_time::Millis};
--- a/crates/oriolehoist_keyspace/src/orders.rs
+++ b/crates/oriolehoist_keyspace/src/orders.rs
@@ -84,9 +84,7 @@
                     {
                         ending.until = Some(server.holds_until);
                     }
-                    let restarted =
-                        server.standing == Standing::Ended && now >= server.unanswered_until;
-                    ending.until.is_none_or(|until| now < until && !restarted)
+                    ending.until.is_none_or(|until| now < until)
                 });
                 match endings.is_empty() {
                     true => granting(handover.clone()),
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -22,6 +22,8 @@
 const MOST_KEYS_MOVED: u16 = 1 << 11;
 /// Into how many parts the range of a server that left is cut at most.
 const PARTS_OF_LEFT_RANGE: u32 = 3;
+/// A range is not cut into parts with fewer keys than this.
+const NARROW: u32 = 1 << 10;
 /// What a range without load counts when ranges are given to servers, in requests a second.
 const LEAST_RATE: f32 = 0.5;
 /// The work of a request while no server's is known, in milliseconds.
@@ -39,12 +41,14 @@
         if usable.is_empty() {
             return false;
         }
+        self.merge();
         if self.slices.is_empty() {
             self.assign_first(&usable, version, fences);
             return true;
         }
         let mut loads = self.loads(&usable);
-        let mut changed = false;
+        // One fence for the whole plan, so that neighbours can be joined again.
+        let mut fence = None;
         let mut index = 0;
         while index < self.slices.len() {
             let slice = &self.slices[index];
@@ -70,12 +74,12 @@
                 if let Some(load) = loads.iter_mut().find(|load| load.key == to) {
                     load.rate += rate;
                 }
-                self.slices[part].reassign(to, version, fences.issue());
+                let fence = *fence.get_or_insert_with(|| fences.issue());
+                self.slices[part].reassign(to, version, fence);
             }
-            changed = true;
             index += parts;
         }
-        changed
+        fence.is_some()
     }
 
     /// Moves the busiest keys of servers that have too much to those that have least.
@@ -93,11 +97,13 @@
         let mut loads = self.loads(&usable);
         let rate: f32 = loads.iter().map(|load| load.rate).sum();
         let mean = rate / loads.iter().map(|load| load.capacity).sum::<f32>().max(0.001);
-        let mut changed = false;
+        let mut fence = None;
         for _ in 0..MOVES_AT_ONCE {
             let (Some(busiest), Some(least)) = (busiest(&loads), least_used(&loads)) else { break };
             let (from, to) = (loads[busiest], loads[least]);
-            let enough = from.use_share() < (mean * TOO_BUSY).max(WORTH_BALANCING);
+            // Its keys would be nobody's until the grants without an answer have lapsed.
+            let blocked = self.server(from.key).unanswered_until > now;
+            let enough = blocked || from.use_share() < (mean * TOO_BUSY).max(WORTH_BALANCING);
             if enough || self.slices.len() >= MOST_SLICES {
                 break;
             }
@@ -106,12 +112,12 @@
             let room = (mean - to.use_share()) * to.capacity;
             let Some(piece) = self.busy_piece(from.key, over.min(room)) else { break };
             let part = self.carve(piece.index, piece.range);
-            self.slices[part].reassign(to.key, version, fences.issue());
+            let fence = *fence.get_or_insert_with(|| fences.issue());
+            self.slices[part].reassign(to.key, version, fence);
             loads[busiest].rate -= piece.rate;
             loads[least].rate += piece.rate;
-            changed = true;
         }
-        changed
+        fence.is_some()
     }
 
     fn usable(&self, now: Millis) -> Vec<ServerKey> {
@@ -172,10 +178,24 @@
         }
     }
 
+    /// Joins neighbouring ranges that one server holds under one fence.
+    fn merge(&mut self) {
+        self.slices.dedup_by(|next, slice| {
+            let joined = slice.step == Step::Held
+                && next.step == Step::Held
+                && (slice.owner, slice.fence) == (next.owner, next.fence);
+            if joined {
+                slice.range.last = next.range.last;
+                slice.version = slice.version.max(next.version);
+            }
+            joined
+        });
+    }
+
     /// Cuts a slice into `parts` of about the same number of keys. Returns how many there are.
     fn cut(&mut self, index: usize, parts: u32) -> usize {
         let range = self.slices[index].range;
-        let parts = parts.min(range.len());
+        let parts = parts.min(range.len() / NARROW);
         if parts < 2 || self.slices.len() >= MOST_SLICES {
             return 1;
         }
