--- a/crates/oriolehoist_keyspace/src/orders.rs
+++ b/crates/oriolehoist_keyspace/src/orders.rs
@@ -57,7 +57,7 @@
     pub fn orders(&mut self, now: Millis, hold: Millis) -> Vec<OrderToSend> {
         let mut due = Vec::new();
         for index in 0..self.slices.len() {
-            self.advance(now, index);
+            while self.advance(now, index) {}
             due.extend(self.order_for_slice(now, index, hold));
         }
         for index in 0..self.servers.len() {
@@ -66,8 +66,9 @@
         due
     }
 
-    /// Moves a slice on as far as it is proved that its earlier owners have ended.
-    fn advance(&mut self, now: Millis, index: usize) {
+    /// Moves a slice one step on if it is proved that its earlier owners have ended. Returns whether
+    /// it did.
+    fn advance(&mut self, now: Millis, index: usize) -> bool {
         let slice = &self.slices[index];
         let range = slice.range;
         let next = match &slice.step {
@@ -91,9 +92,11 @@
                     false => Step::Ending { endings, handover: handover.clone() },
                 }
             }
-            Step::Planned { .. } | Step::Granting { .. } | Step::Held => return,
+            Step::Planned { .. } | Step::Granting { .. } | Step::Held => return false,
         };
+        let changed = self.slices[index].step != next;
         self.slices[index].step = next;
+        changed
     }
 
     fn order_for_slice(&mut self, now: Millis, index: usize, hold: Millis) -> Vec<OrderToSend> {
--- /dev/null
+++ b/crates/oriolehoist_keyspace/tests/directed.rs
@@ -0,0 +1,214 @@
+//! Single mechanisms, each by the shortest way to where it matters.
+
+use {
+    googletest::prelude::*,
+    oriolehoist_keyspace::{
+        Assigned, Fences, HOLD, Holder, Keeper, Life, LoadReport, OrderEnd, OrderToSend,
+    },
+    oriolehoist_port::{KeyRange, Order, OrderAnswer, RegisteredServer, ServerState},
+    oriolehoist_time::Millis,
+    smol_str::SmolStr,
+};
+
+const START: Millis = Millis(100_000);
+const STEP: Millis = Millis(20);
+
+fn server(id: &str, state: ServerState) -> RegisteredServer {
+    let last = id.bytes().last().unwrap_or(0);
+    RegisteredServer {
+        id: SmolStr::new(id),
+        born: 1,
+        service: SmolStr::new("service"),
+        address: ([10, 0, 0, last], 80).into(),
+        zone: SmolStr::new("zone"),
+        slots: 2,
+        state,
+        warm_up_left: Millis::ZERO,
+    }
+}
+
+fn life(id: &str) -> Life {
+    Life { id: SmolStr::new(id), born: 1 }
+}
+
+fn done() -> OrderEnd {
+    OrderEnd::Answered(OrderAnswer::Done(Some(SmolStr::new("handover"))))
+}
+
+/// A keeper with what it needs, whose plans are stored at once.
+struct Assigner {
+    keeper: Keeper,
+    fences: Fences,
+    version: u64,
+    now: Millis,
+}
+
+impl Assigner {
+    fn new(servers: &[RegisteredServer]) -> Assigner {
+        let mut keeper = Keeper::new();
+        keeper.on_servers(START, servers.iter());
+        Assigner { keeper, fences: Fences::default(), version: 0, now: START }
+    }
+
+    /// Goes one step on, and returns the orders of it.
+    fn step(&mut self, hold: Millis) -> Vec<OrderToSend> {
+        self.now = self.now + STEP;
+        if self.keeper.plan(self.now, self.version + 1, &mut self.fences) {
+            self.version += 1;
+            self.keeper.on_stored(self.version);
+        }
+        self.keeper.orders(self.now, hold)
+    }
+
+    /// Goes on for a time in which every order is answered at once.
+    fn run(&mut self, length: Millis) -> Vec<OrderToSend> {
+        let end = self.now + length;
+        let mut all = Vec::new();
+        while self.now < end {
+            for order in self.step(HOLD) {
+                self.keeper.on_order_ended(self.now, order.flight, &done());
+                all.push(order);
+            }
+        }
+        all
+    }
+}
+
+fn is_grant(order: &OrderToSend) -> bool {
+    matches!(order.order, Order::Grant { .. })
+}
+
+#[gtest]
+fn a_hold_is_counted_from_the_answer_by_the_slowest_clock() {
+    let ready = [server("a", ServerState::Ready), server("b", ServerState::Ready)];
+    let mut assigner = Assigner::new(&ready);
+    let mut last = START;
+    for order in assigner.step(HOLD) {
+        assigner.keeper.on_order_ended(assigner.now, order.flight, &done());
+        last = assigner.now;
+    }
+    // No renewal follows: the server has left at once, and answers nothing.
+    assigner.keeper.on_servers(last, ready[1..].iter());
+    let mut given = None;
+    while given.is_none() && assigner.now < last + Millis(10_000) {
+        for order in assigner.step(HOLD) {
+            let to_lost = order.server.id == "a";
+            let took =
+                !to_lost && matches!(order.order, Order::Grant { range, .. } if range.first == 0);
+            if took {
+                given = Some(assigner.now);
+            }
+            let end = if to_lost { OrderEnd::Unsent } else { done() };
+            assigner.keeper.on_order_ended(assigner.now, order.flight, &end);
+        }
+    }
+    expect_that!(given, some(ge(last + Millis(HOLD.0 * 102 / 100))));
+    expect_that!(given, some(lt(last + HOLD + Millis(400))));
+}
+
+#[gtest]
+fn an_earlier_owner_that_a_stored_table_names_is_not_renewed() {
+    let mut keeper = Keeper::new();
+    let assigned = Assigned {
+        range: KeyRange::ALL,
+        owner: life("b"),
+        fence: 9,
+        formers: vec![(life("a"), 5)],
+    };
+    keeper.adopt(START, &[assigned], Millis(10_000));
+    let servers = [
+        server("a", ServerState::Ready),
+        server("b", ServerState::Draining),
+        server("c", ServerState::Ready),
+    ];
+    keeper.on_servers(START, servers.iter());
+    let mut fences = Fences::default();
+    expect_that!(keeper.plan(START, 1, &mut fences), eq(true));
+    let stored = keeper.assigned();
+    expect_that!(stored.iter().all(|assigned| assigned.formers.len() == 2), eq(true));
+    // The plan is not stored yet: nobody may be granted anything.
+    let orders = keeper.orders(START + STEP, HOLD);
+    expect_that!(orders.iter().any(is_grant), eq(false));
+}
+
+#[gtest]
+fn a_takeover_repeats_the_same_grants() {
+    let ready = [server("a", ServerState::Ready), server("b", ServerState::Ready)];
+    let mut first = Assigner::new(&ready);
+    first.run(Millis(3000));
+    let table = first.keeper.assigned();
+    let mut keeper = Keeper::new();
+    keeper.adopt(first.now, &table, Millis(10_000));
+    keeper.on_servers(first.now, ready.iter());
+    let mut fences = first.fences;
+    expect_that!(keeper.plan(first.now, 1, &mut fences), eq(false));
+    let orders = keeper.orders(first.now, HOLD);
+    expect_that!(orders.len(), eq(table.len()));
+    for (order, assigned) in orders.iter().zip(&table) {
+        let expected = Order::Grant {
+            range: assigned.range,
+            fence: assigned.fence,
+            hold: HOLD,
+            handover: None,
+        };
+        expect_that!(order.order, eq(&expected));
+        expect_that!(order.server, eq(&assigned.owner));
+    }
+}
+
+#[gtest]
+fn a_planned_move_takes_the_handover_along() {
+    let servers = [server("a", ServerState::Ready), server("b", ServerState::Ready)];
+    let mut assigner = Assigner::new(&servers);
+    assigner.run(Millis(1000));
+    let leaving = [server("a", ServerState::Draining), server("b", ServerState::Ready)];
+    assigner.keeper.on_servers(assigner.now, leaving.iter());
+    let orders = assigner.run(Millis(200));
+    let handed = orders.iter().any(|order| {
+        order.server.id == "b"
+            && matches!(&order.order, Order::Grant { handover: Some(text), .. } if text == "handover")
+    });
+    expect_that!(handed, eq(true));
+    let routes = assigner.keeper.routes(assigner.now);
+    for routed in &routes.0 {
+        expect_that!(routed.holder, eq(&Holder::Server(life("b"))));
+    }
+}
+
+/// Plays a load that gathers on 60 neighbouring keys, as when one harbour's tide turns, and checks
+/// what each server gets.
+#[gtest]
+fn hot_keys_are_spread_over_servers_by_their_speed() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let servers = names.map(|id| server(id, ServerState::Ready));
+    let mut assigner = Assigner::new(&servers);
+    // Half of the servers are twice as fast as the others.
+    let work = |id: &str| if matches!(id, "a" | "b" | "c") { 50 } else { 100 };
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut served = [0.0; 6];
+    let seconds = 10;
+    for step in 0..seconds * 50 {
+        let keys = (0..2).map(|_| match rng.u32(0..100) {
+            0..40 => (30_000 + rng.u16(0..60), 1),
+            _ => (rng.u16(..), 1),
+        });
+        let keys: Vec<(u16, u32)> = keys.collect();
+        let routes = assigner.keeper.routes(assigner.now);
+        if step >= (seconds - 4) * 50 {
+            for (key, _) in &keys {
+                if let Some(Holder::Server(life)) = routes.holder(*key) {
+                    let index = names.iter().position(|name| life.id == *name).unwrap_or(0);
+                    served[index] += f64::from(work(names[index]));
+                }
+            }
+        }
+        let work = names.map(|id| (SmolStr::new(id), work(id))).to_vec();
+        assigner.keeper.on_load(&LoadReport { keys, work });
+        assigner.run(STEP);
+    }
+    let mean = served.iter().sum::<f64>() / 6.0;
+    let busiest = served.iter().copied().fold(0.0, f64::max);
+    // The aim is 1.25 times the fair share by speed.
+    expect_that!(busiest / mean, le(1.25));
+    expect_that!(assigner.keeper.assigned().len(), le(200));
+}
--- a/crates/oriolehoist_keyspace/tests/world/mod.rs
+++ b/crates/oriolehoist_keyspace/tests/world/mod.rs
@@ -192,7 +192,7 @@
                         }
                     }
                     Order::Grant { .. } => {
-                        order.applies = Some(now + Millis(self.rng.u64(0..6000)))
+                        order.applies = Some(now + Millis(self.rng.u64(0..6000)));
                     }
                 }
             } else if order.arrives.is_none() && order.applies.is_some_and(|at| at <= now) {
--- a/crates/oriolehoist_testkit/src/cluster/daemon.rs
+++ b/crates/oriolehoist_testkit/src/cluster/daemon.rs
@@ -77,7 +77,7 @@
                 let child = Command::new(program)
                     .arg(&self.file)
                     .stdin(Stdio::null())
-                    .stdout(Stdio::null())
+                    .stdout(log.try_clone()?)
                     .stderr(log)
                     .spawn()
                     .wrap_err("can't start the daemon")?;
--- a/crates/oriolehoist_testkit/src/lib.rs
+++ b/crates/oriolehoist_testkit/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`caller`]: load with a record of every request;
 //! - [`oracle`]: what must hold, read from the stand-ins' and the callers' records alone;
 //! - [`demo`]: a site that runs in one process, for people to try;
+//! - [`users_platform`]: the users' platform, with daemons that run on it;
 //! - [`scenario`]: a small language that scripts all of it.
 
 pub mod caller;
@@ -17,3 +18,4 @@
 pub mod scenario;
 pub mod site;
 pub mod standin;
+pub mod users_platform;
--- /dev/null
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -0,0 +1,304 @@
+use {
+    crate::users_platform::{
+        Ran, Server, Store,
+        server::{Journal, Overlaps},
+    },
+    rustix::process::{Pid, Signal, kill_process},
+    serde_json::json,
+    std::{
+        fs::{self, File},
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::{Child, Command, ExitStatus, Stdio},
+        sync::{
+            PoisonError,
+            atomic::{AtomicU8, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// The host of the routes.
+pub const HOST: &str = "tides.example";
+
+static NEXT: AtomicU8 = AtomicU8::new(0);
+
+/// A small deployment on the users' platform: `keyed` is split by key, `plain` is not.
+pub struct Deployment {
+    /// The store.
+    pub store: Store,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// The backend servers.
+    pub servers: Vec<Server>,
+    journal: Journal,
+    overlaps: Overlaps,
+    network: [u8; 2],
+    folder: PathBuf,
+    version: u32,
+}
+
+/// A daemon that runs as a process.
+pub struct Daemon {
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where the balancer asks.
+    pub readiness: SocketAddr,
+    /// Where other daemons reach it.
+    pub peers: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Deployment {
+    /// Starts a store, servers and daemons, and waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if something can't be started, or a daemon is not ready in time.
+    pub async fn start(
+        program: &Path,
+        daemons: u8,
+        keyed: u8,
+        plain: u8,
+    ) -> eyre::Result<Deployment> {
+        let network = [
+            16 + u8::try_from(std::process::id() % 200).unwrap_or(0),
+            200 + NEXT.fetch_add(1, Ordering::Relaxed),
+        ];
+        let address = |last, port| SocketAddr::from(([127, network[0], network[1], last], port));
+        let store = Store::start(address(1, 8169)).await?;
+        let folder = std::env::temp_dir().join(format!(
+            "oriolehoist-platform-{}-{}",
+            std::process::id(),
+            network[1]
+        ));
+        fs::create_dir_all(&folder)?;
+        let mut deployment = Deployment {
+            store,
+            daemons: Vec::new(),
+            servers: Vec::new(),
+            journal: Journal::default(),
+            overlaps: Overlaps::default(),
+            network,
+            folder,
+            version: 0,
+        };
+        deployment.configure();
+        for index in 0..keyed + plain {
+            let service = if index < keyed { "keyed" } else { "plain" };
+            deployment.add_server(index, service).await?;
+        }
+        for index in 0..daemons {
+            let daemon = deployment.daemon(program, index)?;
+            deployment.daemons.push(daemon);
+        }
+        for daemon in &mut deployment.daemons {
+            daemon.start()?;
+        }
+        for daemon in &deployment.daemons {
+            daemon.wait_until_ready(Duration::from_secs(12)).await?;
+        }
+        Ok(deployment)
+    }
+
+    fn address(&self, last: u8, port: u16) -> SocketAddr {
+        SocketAddr::from(([127, self.network[0], self.network[1], last], port))
+    }
+
+    /// Writes the next version of the configuration.
+    pub fn configure(&mut self) {
+        self.version += 3;
+        let routes = [
+            json!(["k", HOST, "/k/", "idempotent", 1500, 600, 2, null, 2, "keyed"]),
+            json!(["b", HOST, "/b/", "non_idempotent", 1500, 600, 1, null, 2, "keyed"]),
+            json!(["p", HOST, "/p/", "idempotent", 1500, 600, 2, null, 2, "plain"]),
+        ];
+        let config = json!({
+            "version": format!("{:08x}", self.version),
+            "routes": {
+                "columns": ["name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority",
+                    "traffic_split", "attempts", "service"],
+                "rows": routes,
+            },
+            "services": {
+                "columns": ["name", "health_path", "max_conns", "sharded", "warm_s"],
+                "rows": [["keyed", "/health", 110, true, 1.0], ["plain", "/health", 110, null, null]],
+            },
+            "limits": {
+                "max_header_bytes": 16384, "max_body_bytes": 65536,
+                "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+            },
+        });
+        self.store.put("op/config", config.to_string().as_bytes());
+    }
+
+    /// Starts a server and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its address is taken.
+    pub async fn add_server(&mut self, index: u8, service: &str) -> eyre::Result<()> {
+        let id = format!("i-{index}");
+        let address = self.address(100 + index, 8080);
+        let work = Duration::from_millis(10);
+        let (journal, overlaps) = (self.journal.clone(), self.overlaps.clone());
+        let by_key = service == "keyed";
+        let server = Server::start(&id, address, by_key, work, journal, overlaps).await?;
+        self.register(&server, service, "ready");
+        self.servers.push(server);
+        Ok(())
+    }
+
+    /// Registers a server.
+    pub fn register(&self, server: &Server, service: &str, state: &str) {
+        let entry = json!({
+            "service": service, "address": server.address.to_string(), "zone": "north",
+            "version": "v1", "slots": 6, "state": state, "warmup_left_ms": 0, "seq": 1,
+            "born": 1_700_000_000_000_u64,
+        });
+        self.store.put(&format!("servers/{}", server.id), entry.to_string().as_bytes());
+    }
+
+    /// Removes a server's registration.
+    pub fn unregister(&self, server: &Server) {
+        self.store.remove(&format!("servers/{}", server.id));
+    }
+
+    /// Returns everything that servers ran.
+    pub fn ran(&self) -> Vec<Ran> {
+        self.journal.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns every time at which two servers held a key.
+    pub fn overlaps(&self) -> Vec<String> {
+        self.overlaps.lock().unwrap_or_else(PoisonError::into_inner).1.clone()
+    }
+
+    fn daemon(&self, program: &Path, index: u8) -> eyre::Result<Daemon> {
+        let last = 10 + index;
+        let settings = self.folder.join(format!("daemon-{index}.toml"));
+        let callers = self.address(last, 8161);
+        let readiness = self.address(last, 8167);
+        let peers = self.address(last, 8166);
+        let text = format!(
+            "[self]\nnode_name = \"edge-{index}\"\nzone = \"north\"\n\
+             [network]\nseeds = [\"{}\"]\n\
+             [network.listen]\nfront = \"{callers}\"\nready = \"{readiness}\"\ncontrol = \"{peers}\"\n\
+             [platform]\nheartbeat_ms = 870\n\
+             [platform.platform]\naddress = \"{}\"\n\
+             [terms.bounds]\ndrain_ms = 2000\ngrace_s = 6\n",
+            self.address(10, 8166),
+            self.store.address,
+        );
+        fs::write(&settings, text)?;
+        let log = settings.with_extension("log");
+        let program = program.to_owned();
+        Ok(Daemon { callers, readiness, peers, program, settings, log, child: None })
+    }
+
+    /// Removes the files; after a failure they stay, with the logs.
+    pub fn clean_up(self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Daemon {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be started.
+    pub fn start(&mut self) -> eyre::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("--platform")
+            .env("ORIOLEHOIST_SETTINGS", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Waits until the balancer would send callers to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not ready within `wait`.
+    pub async fn wait_until_ready(&self, wait: Duration) -> eyre::Result<()> {
+        let until = Instant::now() + wait;
+        let url = format!("http://{}/v1/ready", self.readiness);
+        while Instant::now() < until {
+            let answer = reqwest::get(&url).await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        eyre::bail!("{} is not ready; its log: {}", self.readiness, self.log.display())
+    }
+
+    /// Returns its metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not answer.
+    pub async fn metrics(&self) -> eyre::Result<String> {
+        Ok(reqwest::get(format!("http://{}/metrics", self.peers)).await?.text().await?)
+    }
+
+    /// Returns its log.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Returns whether its log says that it last won the assigner's role and has not lost it.
+    pub fn is_assigner(&self) -> bool {
+        let log = self.log();
+        let last = |event: &str| log.rfind(event).map_or(0, |at| at + 1);
+        self.child.is_some() && last("TermWon") > last("TermLost").max(last("Started:"))
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Freezes or thaws it.
+    pub fn freeze(&self, frozen: bool) {
+        self.signal(if frozen { Signal::STOP } else { Signal::CONT });
+    }
+
+    /// Asks it to stop, and waits until it has.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its end can't be observed.
+    pub async fn stop(&mut self) -> eyre::Result<Option<ExitStatus>> {
+        self.signal(Signal::TERM);
+        let Some(mut child) = self.child.take() else { return Ok(None) };
+        Ok(Some(tokio::task::spawn_blocking(move || child.wait()).await??))
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok());
+        if let Some(pid) = pid.and_then(Pid::from_raw) {
+            // A process that has just ended needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
