--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -23,7 +23,7 @@
 };
 
 /// Without a word of the assigner for this long, a daemon tries to become it.
-const SILENCE: Millis = Millis(900);
+const SILENCE: Millis = Millis(700);
 /// How much longer each further daemon waits, so that they don't all try at once.
 const RANK_DELAY: Millis = Millis(60);
 /// The pause between two attempts to become the assigner.
--- a/crates/oriolehoist_edge/src/control/election.rs
+++ b/crates/oriolehoist_edge/src/control/election.rs
@@ -19,7 +19,7 @@
 pub(crate) const MEMBERS_PREFIX: &str = "oriolehoist/members/";
 /// How long the assigner's lease lasts without a renewal. A grant outlasts it, so that another
 /// daemon can take over before one lapses.
-pub(crate) const ASSIGNER_LEASE: Millis = Millis(2000);
+pub(crate) const ASSIGNER_LEASE: Millis = Millis(1200);
 /// How often a lease is asked for when the store gives no answer.
 const LEASE_ATTEMPTS: u32 = 3;
 /// The longest wait for the end of another daemon's lease, before looking again.
--- a/crates/oriolehoist_edge/src/control/mod.rs
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use {
     actor::{Control, Stop},
     message::Member,
-    peers::{control_router, readiness_router},
+    peers::{control_router, metrics_router, readiness_router},
     store::StoreClient,
     tasks::spawn_tasks,
 };
--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -43,9 +43,9 @@
     Router::new()
         .route("/sync", post(sync))
         .route("/knowledge", post(knowledge))
-        .route("/metrics", get(metrics))
         .layer(DefaultBodyLimit::max(MAX_MESSAGE_BYTES))
-        .with_state((cx, control))
+        .with_state(control)
+        .merge(metrics_router(cx))
 }
 
 /// The route at the balancer's address.
@@ -54,7 +54,7 @@
     Router::new().route(path, get(ready)).with_state(cx)
 }
 
-type Cx = State<(Arc<Shared>, ActorRef<Control>)>;
+type Cx = State<ActorRef<Control>>;
 
 async fn ready(State(cx): State<Arc<Shared>>) -> StatusCode {
     match cx.ready.load(Ordering::Relaxed) && !cx.is_stopping() {
@@ -63,14 +63,19 @@
     }
 }
 
-async fn metrics(State((cx, _)): Cx) -> Response {
+/// The route at the address of metrics.
+pub(crate) fn metrics_router(cx: Arc<Shared>) -> Router {
+    Router::new().route("/metrics", get(metrics)).with_state(cx)
+}
+
+async fn metrics(State(cx): State<Arc<Shared>>) -> Response {
     match cx.metrics.render() {
         Ok(text) => text.into_response(),
         Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
     }
 }
 
-async fn sync(State((_, control)): Cx, body: Bytes) -> Response {
+async fn sync(State(control): Cx, body: Bytes) -> Response {
     match rmp_serde::from_slice::<Sync>(&body) {
         Ok(message) => answer(control.ask(message).await.ok()),
         Err(error) => {
@@ -80,7 +85,7 @@
     }
 }
 
-async fn knowledge(State((_, control)): Cx) -> Response {
+async fn knowledge(State(control): Cx) -> Response {
     answer(control.ask(AskKnowledge).await.ok())
 }
 
--- a/crates/oriolehoist_edge/src/process/daemon.rs
+++ b/crates/oriolehoist_edge/src/process/daemon.rs
@@ -2,7 +2,8 @@
     crate::{
         connection::serve_callers,
         control::{
-            Control, Member, Stop, StoreClient, control_router, readiness_router, spawn_tasks,
+            Control, Member, Stop, StoreClient, control_router, metrics_router, readiness_router,
+            spawn_tasks,
         },
         process::Shared,
     },
@@ -110,6 +111,9 @@
     spawn_tasks(cx, &store, &control, &me);
     serve("peers", peers, control_router(Arc::clone(cx), control.clone()));
     serve("readiness", readiness, readiness_router(Arc::clone(cx)));
+    if let Some(address) = cx.boot.metrics {
+        serve("metrics", listen(address)?, metrics_router(Arc::clone(cx)));
+    }
     Ok(control)
 }
 
--- a/crates/oriolehoist_keyspace/src/timing.rs
+++ b/crates/oriolehoist_keyspace/src/timing.rs
@@ -2,9 +2,9 @@
 
 /// How long keys are granted while the store answers. Longer outlasts a lost assigner for longer;
 /// shorter frees the keys of a lost server sooner.
-pub const HOLD: Millis = Millis(4000);
+pub const HOLD: Millis = Millis(2000);
 /// Time between renewals, so that several may be lost before a grant lapses.
-pub(crate) const RENEWAL_INTERVAL: Millis = Millis(1000);
+pub(crate) const RENEWAL_INTERVAL: Millis = Millis(500);
 /// The pause before a renewal that failed is sent again.
 pub(crate) const RETRY_PAUSE: Millis = Millis(150);
 /// The longest wait for the answer to a grant; then its connection is reset.
--- a/crates/oriolehoist_keyspace/tests/directed.rs
+++ b/crates/oriolehoist_keyspace/tests/directed.rs
@@ -52,7 +52,7 @@
 
     /// Goes one step on, and returns the orders of it.
     fn step(&mut self, hold: Millis) -> Vec<OrderToSend> {
-        self.now = self.now + STEP;
+        self.now += STEP;
         if self.keeper.plan(self.now, self.version + 1, &mut self.fences) {
             self.version += 1;
             self.keeper.on_stored(self.version);
--- a/crates/oriolehoist_port/src/boot.rs
+++ b/crates/oriolehoist_port/src/boot.rs
@@ -13,6 +13,8 @@
     pub readiness: SocketAddr,
     /// Where the other daemons connect.
     pub peers: SocketAddr,
+    /// Where metrics are served, besides the peers' address.
+    pub metrics: Option<SocketAddr>,
     /// Peer addresses of some daemons; they may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// The address of the platform's store.
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -186,7 +186,7 @@
         let peers = self.address(last, 8166);
         let text = format!(
             "[self]\nnode_name = \"edge-{index}\"\nzone = \"north\"\n\
-             [network]\nseeds = [\"{}\"]\n\
+             [network]\ninternal_ports = [7720, 7735]\nseeds = [\"{}\"]\n\
              [network.listen]\nfront = \"{callers}\"\nready = \"{readiness}\"\ncontrol = \"{peers}\"\n\
              [platform]\nheartbeat_ms = 870\n\
              [platform.platform]\naddress = \"{}\"\n\
@@ -249,7 +249,7 @@
     ///
     /// Returns an error if it does not answer.
     pub async fn metrics(&self) -> eyre::Result<String> {
-        Ok(reqwest::get(format!("http://{}/metrics", self.peers)).await?.text().await?)
+        Ok(reqwest::get(format!("http://{}:7720/metrics", self.peers.ip())).await?.text().await?)
     }
 
     /// Returns its log.
