Give a key that is too hot to the fastest server

Change: such a key is cut out for the fastest server. Test: a_key_that_is_too_hot_goes_to_the_fastest_server.

--- a/crates/oriolehoist_keyspace/src/load.rs
+++ b/crates/oriolehoist_keyspace/src/load.rs
@@ -48,6 +48,12 @@
         });
     }
 
+    /// Returns the key with the most load.
+    pub(crate) fn hottest(&self) -> Option<(u16, f32)> {
+        let keys = self.keys.iter().map(|(key, load)| (*key, *load));
+        keys.max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
     /// Returns the load of a range.
     pub(crate) fn of(&self, range: KeyRange) -> f32 {
         self.within(range).map(|(_, load)| load).sum()
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -14,6 +14,10 @@
 const TOO_BUSY: f32 = 1.15;
 /// A server that is used less than this share of its time keeps its keys.
 const WORTH_BALANCING: f32 = 0.25;
+/// A key that uses more than this share of its owner alone is too hot for it.
+const TOO_HOT: f32 = 0.6;
+/// How much faster another server has to be to be worth the move of such a key.
+const MUCH_FASTER: f32 = 1.25;
 /// The greatest number of moves that one look starts.
 const MOVES_AT_ONCE: usize = 8;
 /// The greatest number of ranges, which bounds the renewals and the size of the table.
@@ -98,6 +102,12 @@
         let rate: f32 = loads.iter().map(|load| load.rate).sum();
         let mean = rate / loads.iter().map(|load| load.capacity).sum::<f32>().max(0.001);
         let mut fence = None;
+        if let Some((part, to)) = self.hottest_key_elsewhere(now, &loads) {
+            let new = fences.issue();
+            self.slices[part].reassign(to, version, new);
+            fence = Some(new);
+            loads = self.loads(&usable);
+        }
         for _ in 0..MOVES_AT_ONCE {
             let (Some(busiest), Some(least)) = (busiest(&loads), least_used(&loads)) else { break };
             let (from, to) = (loads[busiest], loads[least]);
@@ -120,6 +130,25 @@
         fence.is_some()
     }
 
+    /// Cuts the hottest key out for the fastest server, if it alone is too much for its owner.
+    ///
+    /// Answers a key that no share of the other keys can be balanced against. What else the
+    /// fastest server holds is then moved away from it as from any server that is too busy.
+    fn hottest_key_elsewhere(&mut self, now: Millis, loads: &[Load]) -> Option<(usize, ServerKey)> {
+        let (key, rate) = self.load.hottest()?;
+        let index = self.slices.iter().position(|slice| slice.range.contains(key))?;
+        let slice = &self.slices[index];
+        let owner = loads.iter().find(|load| load.key == slice.owner)?;
+        let fastest = loads.iter().max_by(|a, b| a.capacity.total_cmp(&b.capacity))?;
+        let worth_it = slice.step == Step::Held
+            && rate > owner.capacity * TOO_HOT
+            && fastest.capacity > owner.capacity * MUCH_FASTER
+            && self.server(slice.owner).unanswered_until <= now
+            && self.slices.len() < MOST_SLICES;
+        let part = worth_it.then(|| self.carve(index, KeyRange { first: key, last: key }))?;
+        Some((part, fastest.key))
+    }
+
     fn usable(&self, now: Millis) -> Vec<ServerKey> {
         let keys = (0..self.servers.len()).map(|index| ServerKey(index as u32));
         keys.filter(|key| self.server(*key).is_usable(now)).collect()
--- a/crates/oriolehoist_keyspace/tests/directed.rs
+++ b/crates/oriolehoist_keyspace/tests/directed.rs
@@ -212,3 +212,21 @@
     expect_that!(busiest / mean, le(1.25));
     expect_that!(assigner.keeper.assigned().len(), le(200));
 }
+
+/// Plays a load of which two fifths are for one key, and checks that the fastest server has it.
+#[gtest]
+fn a_key_that_is_too_hot_goes_to_the_fastest_server() {
+    let names = ["a", "b", "c", "d"];
+    let servers = names.map(|id| server(id, ServerState::Ready));
+    let mut assigner = Assigner::new(&servers);
+    let work = |id: &str| if id == "c" { 50 } else { 100 };
+    let mut rng = fastrand::Rng::with_seed(3);
+    for _ in 0..300 {
+        let keys = vec![(100, u32::from(rng.u32(0..5) < 2)), (rng.u16(..), 1)];
+        let work = names.map(|id| (SmolStr::new(id), work(id))).to_vec();
+        assigner.keeper.on_load(&LoadReport { keys, work });
+        assigner.run(STEP);
+    }
+    let routes = assigner.keeper.routes(assigner.now);
+    expect_that!(routes.holder(100), some(eq(&Holder::Server(life("c")))));
+}
