--- a/crates/oriolehoist_admission/src/gauge.rs
+++ b/crates/oriolehoist_admission/src/gauge.rs
@@ -6,6 +6,8 @@
 const REPORT_HALF_LIFE: Millis = Millis(400);
 /// How many answers make the measured work worth telling.
 const MEASURED_AFTER: u32 = 5;
+/// How long what the other daemons told of themselves is used.
+const PEERS_FRESH: Millis = Millis(250);
 /// How long a server that shed is taken as full, the first time; it doubles with each further one.
 const SHED_PAUSE: Millis = Millis(60);
 /// The longest such time.
@@ -16,7 +18,8 @@
 /// What one daemon believes of the queue at one server.
 ///
 /// The server's own figures count those of all daemons; what this daemon sent since is added, and
-/// the figures fade, as the requests of the others do.
+/// the figures fade, as the requests of the others do. Where a server is busy, the daemons tell
+/// each other how many requests they have there, which is newer.
 #[derive(Clone, Debug)]
 pub struct Gauge {
     slots: f64,
@@ -24,6 +27,9 @@
     /// Requests of other daemons, when the server last told.
     others: f64,
     told_at: Millis,
+    /// Requests of other daemons, as these told, and when.
+    peers: u32,
+    peers_at: Millis,
     /// The mean time that the server takes for a request, in milliseconds.
     work: f64,
     answers: u32,
@@ -59,6 +65,8 @@
             mine: 0,
             others: 0.0,
             told_at: Millis::ZERO,
+            peers: 0,
+            peers_at: Millis::ZERO,
             work: work.0 as f64,
             answers: 0,
             sheds: 0,
@@ -121,13 +129,28 @@
         self.wait(now) + Millis(self.work as u64)
     }
 
-    /// Returns the share of the slots that is taken.
-    pub fn utilisation(&self, now: Millis) -> f64 {
-        self.occupancy(now) / self.slots
+    /// Notes how many requests the other daemons have at the server.
+    pub fn on_peers(&mut self, now: Millis, requests: u32) {
+        self.peers = requests;
+        self.peers_at = now;
+    }
+
+    /// Returns how many requests of this daemon the others should know of: those at a server
+    /// where requests may have to wait.
+    pub fn worth_telling(&self, now: Millis) -> Option<u32> {
+        let busy = self.occupancy(now) >= self.slots;
+        (busy && self.mine > 0).then_some(self.mine)
     }
 
     fn occupancy(&self, now: Millis) -> f64 {
-        let halves = now.since(self.told_at).0 as f64 / REPORT_HALF_LIFE.0 as f64;
-        f64::from(self.mine) + self.others * 0.5_f64.powf(halves)
+        let told_by_peers = self.peers_at > self.told_at && now.since(self.peers_at) < PEERS_FRESH;
+        let others = match told_by_peers {
+            true => f64::from(self.peers),
+            false => {
+                let halves = now.since(self.told_at).0 as f64 / REPORT_HALF_LIFE.0 as f64;
+                self.others * 0.5_f64.powf(halves)
+            }
+        };
+        f64::from(self.mine) + others
     }
 }
--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -9,6 +9,7 @@
     smol_str::SmolStr,
     std::{
         collections::HashMap,
+        hash::{Hash, Hasher},
         io,
         net::{IpAddr, SocketAddr},
         sync::{
@@ -37,6 +38,8 @@
 #[derive(Debug)]
 pub(crate) struct Backend {
     pub(crate) life: Life,
+    /// Stands for the life where bytes are few.
+    pub(crate) number: u32,
     pub(crate) address: SocketAddr,
     pub(crate) zone: SmolStr,
     source: IpAddr,
@@ -61,7 +64,10 @@
             Millis::ZERO => FIRST_WORK,
             _ => FIRST_WORK * COLD_FACTOR,
         };
+        let mut hasher = std::hash::DefaultHasher::new();
+        (&entry.id, entry.born).hash(&mut hasher);
         Backend {
+            number: hasher.finish() as u32,
             life: Life { id: entry.id.clone(), born: entry.born },
             address: entry.address,
             zone: entry.zone.clone(),
--- a/crates/oriolehoist_edge/src/control/knowledge.rs
+++ b/crates/oriolehoist_edge/src/control/knowledge.rs
@@ -122,7 +122,9 @@
             }
         }
         let config = Arc::clone(config);
-        let view = View::new(config, backends, services, self.routes.clone(), daemons);
+        let peers = self.members.iter().map(|member| member.address);
+        let peers = peers.filter(|peer| *peer != cx.boot.peers).collect();
+        let view = View::new(config, backends, services, self.routes.clone(), daemons, peers);
         cx.view.publish(view);
     }
 }
--- a/crates/oriolehoist_edge/src/control/mod.rs
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod election;
 mod knowledge;
 mod message;
+mod occupancy;
 mod orders;
 mod peers;
 mod servers;
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -7,6 +7,7 @@
             actor::{AskReading, Reading, Reply},
             election::{MEMBERS_PREFIX, TABLE_KEY},
             message::{Input, Member},
+            occupancy::exchange,
             peers::ask_knowledge,
             servers::ServerReader,
         },
@@ -51,6 +52,7 @@
     me: &Member,
 ) {
     let feed = Feed { cx: Arc::clone(cx), store: Arc::clone(store), control: control.clone() };
+    tokio::spawn(exchange(Arc::clone(cx)));
     tokio::spawn(feed.clone().tick());
     tokio::spawn(feed.clone().follow_config());
     tokio::spawn(feed.clone().follow_servers());
--- a/crates/oriolehoist_edge/src/version/view.rs
+++ b/crates/oriolehoist_edge/src/version/view.rs
@@ -6,6 +6,7 @@
     smol_str::SmolStr,
     std::{
         collections::{BTreeMap, HashMap},
+        net::SocketAddr,
         sync::Arc,
     },
     tokio::sync::watch,
@@ -24,6 +25,10 @@
     pub(crate) keys: BTreeMap<SmolStr, KeyRoutes>,
     /// How many daemons share the servers.
     pub(crate) daemons: usize,
+    /// Where the other daemons are.
+    pub(crate) peers: Vec<SocketAddr>,
+    /// Every known server, by its number.
+    pub(crate) numbers: HashMap<u32, Arc<Backend>>,
 }
 
 impl View {
@@ -33,6 +38,7 @@
         services: HashMap<SmolStr, Vec<Arc<Backend>>>,
         keys: BTreeMap<SmolStr, KeyRoutes>,
         daemons: usize,
+        peers: Vec<SocketAddr>,
     ) -> View {
         let mut hosts: HashMap<SmolStr, Vec<usize>> = HashMap::new();
         for (index, route) in config.routes.iter().enumerate() {
@@ -42,7 +48,9 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|index| std::cmp::Reverse(config.routes[*index].prefix.len()));
         }
-        View { config, hosts, backends, services, keys, daemons }
+        let numbers = backends.values().map(|backend| (backend.number, Arc::clone(backend)));
+        let numbers = numbers.collect();
+        View { config, hosts, backends, services, keys, daemons, peers, numbers }
     }
 
     /// Returns the route for a request: that with the longest prefix of the path.
--- a/crates/oriolehoist_port/src/boot.rs
+++ b/crates/oriolehoist_port/src/boot.rs
@@ -15,6 +15,8 @@
     pub peers: SocketAddr,
     /// Where metrics are served, besides the peers' address.
     pub metrics: Option<SocketAddr>,
+    /// Where daemons send each other datagrams; the port is the same for all.
+    pub datagrams: Option<SocketAddr>,
     /// Peer addresses of some daemons; they may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// The address of the platform's store.
