Learn servers' speeds from all daemons' answers together

Cause: a daemon told a server's work only after five answers of its own, which takes five seconds at ten daemons, and started from a guess with much weight. Change: sums and counts are told and added up; few answers count for little.

--- a/crates/oriolehoist_admission/src/gauge.rs
+++ b/crates/oriolehoist_admission/src/gauge.rs
@@ -1,19 +1,17 @@
 use oriolehoist_time::Millis;
 
-/// The weight of a new measurement of the work in the running mean.
-const WORK_WEIGHT: f64 = 0.15;
+/// What each new measurement of the work leaves of the weight of the earlier ones.
+const WORK_KEPT: f64 = 0.93;
+/// How many measurements the expectation before the first one weighs.
+const EXPECTED_WEIGHT: f64 = 2.0;
 /// The time after which what a server said of its queue counts half.
 const REPORT_HALF_LIFE: Millis = Millis(400);
-/// How many answers make the measured work worth telling.
-const MEASURED_AFTER: u32 = 5;
 /// How long what the other daemons told of themselves is used.
 const PEERS_FRESH: Millis = Millis(250);
 /// How long a server that shed is taken as full, the first time; it doubles with each further one.
 const SHED_PAUSE: Millis = Millis(60);
 /// The longest such time.
 const LONGEST_SHED_PAUSE: Millis = Millis(480);
-/// What a request without an answer adds to the expected work, relative to the time it took.
-const LOST_WEIGHT: f64 = 0.5;
 
 /// What one daemon believes of the queue at one server.
 ///
@@ -30,13 +28,25 @@
     /// Requests of other daemons, as these told, and when.
     peers: u32,
     peers_at: Millis,
-    /// The mean time that the server takes for a request, in milliseconds.
-    work: f64,
-    answers: u32,
+    /// The time that the server was expected to take for a request, in milliseconds.
+    expected_work: f64,
+    /// The measured times, and how many they are, with less weight for earlier ones.
+    work_sum: f64,
+    work_count: f64,
+    untold: WorkTotal,
     sheds: u32,
     shed_until: Millis,
 }
 
+/// The time that a server took for some requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkTotal {
+    /// The sum, in milliseconds.
+    pub millis: u64,
+    /// How many requests it is about.
+    pub answers: u32,
+}
+
 /// A request that is at a server.
 #[derive(Clone, Copy, Debug)]
 pub struct AtServer {
@@ -67,8 +77,10 @@
             told_at: Millis::ZERO,
             peers: 0,
             peers_at: Millis::ZERO,
-            work: work.0 as f64,
-            answers: 0,
+            expected_work: work.0 as f64,
+            work_sum: 0.0,
+            work_count: 0.0,
+            untold: WorkTotal::default(),
             sheds: 0,
             shed_until: Millis::ZERO,
         }
@@ -97,8 +109,7 @@
         match end {
             AtServerEnd::Answered => {
                 let turns = ((at.occupancy + 1.0) / self.slots).max(1.0);
-                self.work += WORK_WEIGHT * (took / turns - self.work);
-                self.answers = self.answers.saturating_add(1);
+                self.measure(took / turns);
                 self.sheds = 0;
             }
             AtServerEnd::Shed => {
@@ -107,26 +118,39 @@
                 self.shed_until = now + pause.min(LONGEST_SHED_PAUSE);
             }
             AtServerEnd::Lost => {
-                self.work += WORK_WEIGHT * (took * LOST_WEIGHT).max(0.0);
+                self.measure(took);
             }
             AtServerEnd::Other => {}
         }
     }
 
-    /// Returns the mean time that the server takes for a request, once enough were measured.
-    pub fn measured_work(&self) -> Option<Millis> {
-        (self.answers >= MEASURED_AFTER).then_some(Millis(self.work as u64))
+    fn measure(&mut self, work: f64) {
+        self.work_sum = self.work_sum * WORK_KEPT + work;
+        self.work_count = self.work_count * WORK_KEPT + 1.0;
+        self.untold.millis += work as u64;
+        self.untold.answers += 1;
+    }
+
+    /// Returns the time that the server takes for a request, in milliseconds.
+    fn work(&self) -> f64 {
+        let sum = self.expected_work * EXPECTED_WEIGHT + self.work_sum;
+        sum / (EXPECTED_WEIGHT + self.work_count)
+    }
+
+    /// Takes what was measured since the last time.
+    pub fn take_work(&mut self) -> WorkTotal {
+        std::mem::take(&mut self.untold)
     }
 
     /// Returns how long a request would wait there before it runs.
     pub fn wait(&self, now: Millis) -> Millis {
         let ahead = (self.occupancy(now) + 1.0 - self.slots).max(0.0);
-        Millis((ahead / self.slots * self.work) as u64).max(self.shed_until.since(now))
+        Millis((ahead / self.slots * self.work()) as u64).max(self.shed_until.since(now))
     }
 
     /// Returns how long a request would take there, the wait included.
     pub fn expected(&self, now: Millis) -> Millis {
-        self.wait(now) + Millis(self.work as u64)
+        self.wait(now) + Millis(self.work() as u64)
     }
 
     /// Notes how many requests the other daemons have at the server.
--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -26,7 +26,7 @@
 pub use {
     class::Class,
     gate::{Entry, Gate, GateLimits, GateRefusal, Leave, Turn},
-    gauge::{AtServer, AtServerEnd, Gauge},
+    gauge::{AtServer, AtServerEnd, Gauge, WorkTotal},
     limit::AdaptiveLimit,
     queue::{ClassQueue, Ticket, Waiting},
     retry::RetryBudget,
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -28,7 +28,7 @@
 const RETRY_MARGIN: f64 = 0.7;
 
 /// Time between reports of how fast the servers are.
-const WORK_REPORT_INTERVAL: Millis = Millis(800);
+const WORK_REPORT_INTERVAL: Millis = Millis(400);
 /// How long an idle connection to a peer is used again.
 const PEER_IDLE_TIMEOUT: Millis = Millis(3000);
 
@@ -157,8 +157,9 @@
         let report = |(service, keys): (SmolStr, HashMap<u16, u32>)| {
             let servers = view.iter().filter_map(|view| view.services.get(&service)).flatten();
             let work = servers.filter_map(|server| {
-                let work = server.gauge().measured_work()?;
-                Some((server.life.id.clone(), u32::try_from(work.0).unwrap_or(u32::MAX)))
+                let total = server.gauge().take_work();
+                let millis = u32::try_from(total.millis).unwrap_or(u32::MAX);
+                (total.answers > 0).then(|| (server.life.id.clone(), millis, total.answers))
             });
             let work = work.collect();
             (service, LoadReport { keys: keys.into_iter().collect(), work })
--- a/crates/oriolehoist_keyspace/src/keeper.rs
+++ b/crates/oriolehoist_keyspace/src/keeper.rs
@@ -12,8 +12,6 @@
     std::collections::HashMap,
 };
 
-/// The weight of one daemon's measurement of a server's work.
-const WORK_WEIGHT: f32 = 0.2;
 /// The wait for a lost owner is told in steps of this length, since every change is sent to all
 /// daemons.
 const LOST_STEP: Millis = Millis(500);
@@ -124,11 +122,9 @@
     /// Notes what a daemon measured.
     pub fn on_load(&mut self, report: &LoadReport) {
         self.load.add(report);
-        for (id, work) in &report.work {
+        for (id, millis, answers) in &report.work {
             for server in self.servers.iter_mut().filter(|server| server.life.id == *id) {
-                let told = *work as f32;
-                let before = server.work.unwrap_or(told);
-                server.work = Some(before + WORK_WEIGHT * (told - before));
+                server.work.add(*millis, *answers);
             }
         }
     }
--- a/crates/oriolehoist_keyspace/src/load.rs
+++ b/crates/oriolehoist_keyspace/src/load.rs
@@ -16,8 +16,8 @@
 pub struct LoadReport {
     /// How many requests there were for each key.
     pub keys: Vec<(u16, u32)>,
-    /// How long each server takes for a request, in milliseconds, by the server's name.
-    pub work: Vec<(SmolStr, u32)>,
+    /// For each server the time that it took for requests, in milliseconds, and how many they were.
+    pub work: Vec<(SmolStr, u32, u32)>,
 }
 
 /// The load of a service by key, in requests a second.
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         Fences, Keeper,
-        server::{ServerKey, Standing},
+        server::{ServerKey, Standing, Work},
         slice::{Slice, Step},
     },
     oriolehoist_port::KeyRange,
@@ -9,7 +9,7 @@
 };
 
 /// Time between looks at the balance, so that the load settles after a move.
-const BALANCE_INTERVAL: Millis = Millis(500);
+const BALANCE_INTERVAL: Millis = Millis(400);
 /// A server that is used this much more than the mean gives keys away.
 const TOO_BUSY: f32 = 1.15;
 /// A server that is used less than this share of its time keeps its keys.
@@ -155,18 +155,14 @@
     }
 
     fn loads(&self, usable: &[ServerKey]) -> Vec<Load> {
-        let known: Vec<f32> = usable.iter().filter_map(|key| self.server(*key).work).collect();
-        let usual = match known.len() {
-            0 => USUAL_WORK,
-            count => known.iter().sum::<f32>() / count as f32,
-        };
+        let usual = Work::mean(usable.iter().map(|key| self.server(*key).work), USUAL_WORK);
         let load = |key: &ServerKey| {
             let server = self.server(*key);
             let owned = self.slices.iter().filter(|slice| slice.owner == *key);
             Load {
                 key: *key,
                 rate: owned.map(|slice| self.load.of(slice.range)).sum(),
-                capacity: server.slots as f32 * 1000.0 / server.work.unwrap_or(usual).max(1.0),
+                capacity: server.slots as f32 * 1000.0 / server.work.expected(usual).max(1.0),
             }
         };
         usable.iter().map(load).collect()
--- a/crates/oriolehoist_keyspace/src/server.rs
+++ b/crates/oriolehoist_keyspace/src/server.rs
@@ -11,6 +11,41 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ServerKey(pub(crate) u32);
 
+/// How many answers keep a measurement at half of its weight.
+const WORK_HALVED_BY: f32 = 60.0;
+/// How many answers the usual work weighs against a server's own.
+const USUAL_WEIGHT: f32 = 4.0;
+
+/// How long a server takes for requests, as daemons measured it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Work {
+    millis: f32,
+    answers: f32,
+}
+
+impl Work {
+    /// Adds a measurement; earlier ones count less the more follow.
+    pub(crate) fn add(&mut self, millis: u32, answers: u32) {
+        let kept = 0.5_f32.powf(answers as f32 / WORK_HALVED_BY);
+        self.millis = self.millis * kept + millis as f32;
+        self.answers = self.answers * kept + answers as f32;
+    }
+
+    /// Returns the mean of several servers' work, in milliseconds, or `otherwise` if none is known.
+    pub(crate) fn mean(all: impl Iterator<Item = Work>, otherwise: f32) -> f32 {
+        let total = all.fold(Work::default(), |sum, work| Work {
+            millis: sum.millis + work.millis,
+            answers: sum.answers + work.answers,
+        });
+        if total.answers > 0.0 { total.millis / total.answers } else { otherwise }
+    }
+
+    /// Returns the expected work in milliseconds; with few answers it is near the `usual` one.
+    pub(crate) fn expected(self, usual: f32) -> f32 {
+        (usual * USUAL_WEIGHT + self.millis) / (USUAL_WEIGHT + self.answers)
+    }
+}
+
 /// What the registrations say of a server's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Standing {
@@ -39,8 +74,7 @@
     pub(crate) next_renewal: Millis,
     pub(crate) failures: u32,
     pub(crate) last_answer: Millis,
-    /// How long it takes for a request, in milliseconds, as daemons measured it.
-    pub(crate) work: Option<f32>,
+    pub(crate) work: Work,
 }
 
 impl Server {
@@ -56,7 +90,7 @@
             next_renewal: now,
             failures: 0,
             last_answer: now,
-            work: None,
+            work: Work::default(),
         }
     }
 
--- a/crates/oriolehoist_keyspace/tests/directed.rs
+++ b/crates/oriolehoist_keyspace/tests/directed.rs
@@ -202,7 +202,7 @@
                 }
             }
         }
-        let work = names.map(|id| (SmolStr::new(id), work(id))).to_vec();
+        let work = names.map(|id| (SmolStr::new(id), work(id), 1)).to_vec();
         assigner.keeper.on_load(&LoadReport { keys, work });
         assigner.run(STEP);
     }
@@ -223,7 +223,7 @@
     let mut rng = fastrand::Rng::with_seed(3);
     for _ in 0..300 {
         let keys = vec![(100, u32::from(rng.u32(0..5) < 2)), (rng.u16(..), 1)];
-        let work = names.map(|id| (SmolStr::new(id), work(id))).to_vec();
+        let work = names.map(|id| (SmolStr::new(id), work(id), 1)).to_vec();
         assigner.keeper.on_load(&LoadReport { keys, work });
         assigner.run(STEP);
     }
