Treat callers that came back like all others, and keys of replaced servers as free

Changes: a 4xx to an order is the answer of another server, and proves that the owner there has ended; one rule of admission for all; a line in the log for each request, with what decided and its versions.

--- a/crates/oriolehoist_edge/src/control/knowledge.rs
+++ b/crates/oriolehoist_edge/src/control/knowledge.rs
@@ -3,7 +3,7 @@
         connection::Backends,
         control::message::{Member, ServerList, Stamp, Versions},
         process::Shared,
-        version::View,
+        version::{Parts, View},
     },
     bytes::Bytes,
     oriolehoist_keyspace::KeyRoutes,
@@ -124,7 +124,17 @@
         let config = Arc::clone(config);
         let peers = self.members.iter().map(|member| member.address);
         let peers = peers.filter(|peer| *peer != cx.boot.peers).collect();
-        let view = View::new(config, backends, services, self.routes.clone(), daemons, peers);
+        let stamp = self.versions.routes;
+        let view = View::from(Parts {
+            config,
+            backends,
+            services,
+            keys: self.routes.clone(),
+            daemons,
+            peers,
+            routes_stamp: format!("{}.{}", stamp.term, stamp.count),
+            servers_at: self.servers.at.0,
+        });
         cx.view.publish(view);
     }
 }
--- a/crates/oriolehoist_edge/src/control/orders.rs
+++ b/crates/oriolehoist_edge/src/control/orders.rs
@@ -82,7 +82,9 @@
         };
         self.cx.metrics.on_order(name);
         if !matches!(end, OrderEnd::Answered(OrderAnswer::Done(_))) {
-            let text = format_args!("server={} order=\"{:?}\" end={name}", to.server.id, to.order);
+            let (id, order) = (&to.server.id, &to.order);
+            let text =
+                format_args!("server={id} order=\"{order:?}\" end={name} answer=\"{end:?}\"");
             report(Event::OrderFailed, text);
         }
         end
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -103,7 +103,7 @@
             Offered::Shed => {
                 let wait = backend.gauge().wait(cx.clock.now()).max(SOON);
                 let refusal = Refusal::new(Kind::Overloaded, "the server is full");
-                return Outcome::Refused(refusal.come_back(wait));
+                return Outcome::Refused(refusal.wait(wait).come_back(wait));
             }
             Offered::NotOwner if stale < MAX_STALE => {
                 stale += 1;
@@ -166,8 +166,9 @@
 /// Refuses a request at once that the server could not finish in time.
 ///
 /// Answers servers that many daemons share: a queue in which everything becomes late serves nobody
-/// better than a short one, and a caller that is refused at once has time to come back. One that
-/// has come back has no such time, and is only refused if its deadline can't be met.
+/// better than a short one, and a caller that is refused at once has time to come back. Callers
+/// that have come back are treated as all others: admitted into a long queue, they made both
+/// themselves and those behind them late.
 fn too_late(cx: &Shared, job: &Job, backend: &Backend) -> Option<Refusal> {
     let now = cx.clock.now();
     let (wait, expected) = {
@@ -176,13 +177,13 @@
     };
     let refuse =
         |rule, after: Millis| Some(Refusal::new(Kind::Overloaded, rule).come_back(after.max(SOON)));
-    let over = (now + expected).since(job.objective);
+    let over = expected.since(job.route.objective);
     match () {
         () if now >= job.deadline => refuse("the deadline has passed", SOON),
         () if now + wait > job.deadline => {
             refuse("the server's queue is longer than the deadline", wait)
         }
-        () if !job.returned && wait > Millis::ZERO && over > Millis::ZERO => {
+        () if wait > Millis::ZERO && over > Millis::ZERO => {
             refuse("the server's queue is longer than the objective", over)
         }
         () if backend.is_at_share() => refuse("this daemon's share of the server is in use", wait),
--- a/crates/oriolehoist_edge/src/request/refuse.rs
+++ b/crates/oriolehoist_edge/src/request/refuse.rs
@@ -20,6 +20,8 @@
     pub(crate) kind: Kind,
     /// Which check decided.
     pub(crate) rule: &'static str,
+    /// How long the request would have had to wait, if that decided.
+    pub(crate) wait: Option<Millis>,
     /// When there will be room; the kind's usual time if nothing better is known.
     pub(crate) come_back: Option<Millis>,
 }
@@ -29,13 +31,17 @@
 
 impl Refusal {
     pub(crate) fn new(kind: Kind, rule: &'static str) -> Refusal {
-        Refusal { kind, rule, come_back: None }
+        Refusal { kind, rule, wait: None, come_back: None }
     }
 
     pub(crate) fn come_back(self, after: Millis) -> Refusal {
         Refusal { come_back: Some(after), ..self }
     }
 
+    pub(crate) fn wait(self, wait: Millis) -> Refusal {
+        Refusal { wait: Some(wait), ..self }
+    }
+
     /// Returns the status: on this platform 429 and 503 promise that the request has not run, and
     /// no 502 or 504 does.
     pub(crate) fn status(&self) -> u16 {
--- a/crates/oriolehoist_edge/src/request/respond.rs
+++ b/crates/oriolehoist_edge/src/request/respond.rs
@@ -22,8 +22,6 @@
 const USUAL_DEADLINE: Millis = Millis(5000);
 /// A caller that has this much less time than the route gives has tried before.
 const RETURNED_AFTER: Millis = Millis(20);
-/// A request slower than this many times its objective is logged.
-const LATE_FACTOR: u64 = 1;
 
 /// A whole request of a caller.
 pub(crate) struct Request {
@@ -58,29 +56,19 @@
     cx.metrics.observe(service, took);
     match outcome {
         Outcome::Answered(answer) => {
-            if job.offers > 1 || took > job.route.objective * LATE_FACTOR {
-                let text = format_args!(
-                    "request={} route={} service={service} key={:?} status={} offers={} \
-                     server={} took_ms={} config={:08x}",
-                    job.id_text(),
-                    job.route.name,
-                    job.key,
-                    answer.status,
-                    job.offers,
-                    job.last_server,
-                    took.0,
-                    job.view.config.version,
-                );
-                report(Event::Served, text);
-            }
+            let text = format_args!(
+                "request={} {} status={} late={} took_ms={}",
+                job.id_text(),
+                job.context(),
+                answer.status,
+                cx.clock.now() > job.objective,
+                took.0,
+            );
+            report(Event::Served, text);
             Reply::from(answer)
         }
         Outcome::Refused(refusal) => {
-            let context = format!(
-                "route={} service={service} key={:?} offers={} server={} config={:08x}",
-                job.route.name, job.key, job.offers, job.last_server, job.view.config.version,
-            );
-            log_refusal(cx, job.id_text(), &context, &refusal, took);
+            log_refusal(cx, job.id_text(), &job.context(), &refusal, took);
             refusal.reply()
         }
     }
@@ -154,11 +142,14 @@
 
 fn log_refusal(cx: &Shared, id: &str, context: &str, refusal: &Refusal, took: Millis) {
     cx.metrics.on_refusal(refusal.kind);
+    let millis = |time: Option<Millis>| time.map_or(-1, |time| time.0 as i64);
     let text = format_args!(
-        "request={id} kind={} status={} rule=\"{}\" {context} took_ms={}",
+        "request={id} kind={} status={} rule=\"{}\" {context} wait_ms={} come_back_ms={} took_ms={}",
         refusal.kind,
         refusal.status(),
         refusal.rule,
+        millis(refusal.wait),
+        millis(refusal.come_back),
         took.0,
     );
     report(Event::Refused, text);
@@ -169,6 +160,20 @@
         self.id.to_str().unwrap_or_default()
     }
 
+    /// Describes what decided, for the log: where it went, and by which versions.
+    fn context(&self) -> String {
+        let key = self.key.map_or(-1, i32::from);
+        let (route, service, server) = (&self.route.name, &self.service, &self.last_server);
+        let given = self.deadline.since(self.arrived).0;
+        let (offers, config) = (self.offers, self.view.config.version);
+        let (routes, servers) = (&self.view.routes_stamp, self.view.servers_at);
+        format!(
+            "route={route} service={service} key={key} offers={offers} server={server} \
+             given_ms={given} returned={} config={config:08x} routes={routes} servers={servers}",
+            self.returned,
+        )
+    }
+
     /// Returns the view as it is now.
     pub(crate) fn refresh(&mut self, cx: &Shared) {
         if let Some(view) = cx.view.load() {
--- a/crates/oriolehoist_edge/src/version/view.rs
+++ b/crates/oriolehoist_edge/src/version/view.rs
@@ -29,17 +29,28 @@
     pub(crate) peers: Vec<SocketAddr>,
     /// Every known server, by its number.
     pub(crate) numbers: HashMap<u32, Arc<Backend>>,
+    /// The term and the count of the routes, for the log.
+    pub(crate) routes_stamp: String,
+    /// The store's revision of the servers.
+    pub(crate) servers_at: u64,
 }
 
-impl View {
-    pub(crate) fn new(
-        config: Arc<Configuration>,
-        backends: HashMap<SmolStr, Arc<Backend>>,
-        services: HashMap<SmolStr, Vec<Arc<Backend>>>,
-        keys: BTreeMap<SmolStr, KeyRoutes>,
-        daemons: usize,
-        peers: Vec<SocketAddr>,
-    ) -> View {
+/// What a view is made of.
+pub(crate) struct Parts {
+    pub(crate) config: Arc<Configuration>,
+    pub(crate) backends: HashMap<SmolStr, Arc<Backend>>,
+    pub(crate) services: HashMap<SmolStr, Vec<Arc<Backend>>>,
+    pub(crate) keys: BTreeMap<SmolStr, KeyRoutes>,
+    pub(crate) daemons: usize,
+    pub(crate) peers: Vec<SocketAddr>,
+    pub(crate) routes_stamp: String,
+    pub(crate) servers_at: u64,
+}
+
+impl From<Parts> for View {
+    fn from(parts: Parts) -> View {
+        let Parts { config, backends, services, keys, daemons, peers, routes_stamp, servers_at } =
+            parts;
         let mut hosts: HashMap<SmolStr, Vec<usize>> = HashMap::new();
         for (index, route) in config.routes.iter().enumerate() {
             let host = SmolStr::new(route.host.to_ascii_lowercase());
@@ -50,9 +61,22 @@
         }
         let numbers = backends.values().map(|backend| (backend.number, Arc::clone(backend)));
         let numbers = numbers.collect();
-        View { config, hosts, backends, services, keys, daemons, peers, numbers }
+        View {
+            config,
+            hosts,
+            backends,
+            services,
+            keys,
+            daemons,
+            peers,
+            numbers,
+            routes_stamp,
+            servers_at,
+        }
     }
+}
 
+impl View {
     /// Returns the route for a request: that with the longest prefix of the path.
     pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/oriolehoist_keyspace/src/orders.rs
+++ b/crates/oriolehoist_keyspace/src/orders.rs
@@ -123,7 +123,9 @@
                 })
                 .collect(),
             Step::Granting { handover, in_flight: false, at }
-                if now >= at && self.server(owner).standing != Standing::Ended =>
+                if now >= at
+                    && self.server(owner).standing != Standing::Ended
+                    && !self.server(owner).replaced =>
             {
                 let order = Order::Grant { range, fence, hold, handover: handover.clone() };
                 let sent = self.send(owner, range, fence, Some(hold), order);
@@ -141,7 +143,8 @@
     fn renewals(&mut self, now: Millis, key: ServerKey, hold: Millis) -> Vec<OrderToSend> {
         let server = self.server(key);
         let due = now >= server.next_renewal && server.grants_in_flight == 0;
-        if !due || server.standing == Standing::Ended || server.is_silent(now) {
+        let gone = server.standing == Standing::Ended || server.replaced;
+        if !due || gone || server.is_silent(now) {
             return Vec::new();
         }
         let mut runs: Vec<(KeyRange, u64)> = Vec::new();
@@ -197,10 +200,14 @@
         let Some(flight) = self.flights.remove(&flight.0) else { return };
         let server = self.server_mut(flight.server);
         match end {
-            OrderEnd::Answered(_) => {
+            OrderEnd::Answered(OrderAnswer::Done(_) | OrderAnswer::HigherFence) => {
                 server.failures = 0;
                 server.last_answer = now;
             }
+            OrderEnd::Answered(OrderAnswer::Refused(_)) => {
+                server.failures += 1;
+                server.replaced |= is_foreign(end);
+            }
             OrderEnd::Unanswered | OrderEnd::Unsent => server.failures += 1,
         }
         match flight.hold {
@@ -257,6 +264,11 @@
                         handover.clone_from(given);
                     }
                 }
+                // An owner refuses no release: another server listens where it did.
+                _ if is_foreign(end) => {
+                    ending.released = true;
+                    ending.until = ending.until.map(|until| until.min(unanswered_until));
+                }
                 _ => ending.ask_at = now + RETRY_PAUSE,
             }
         }
@@ -272,6 +284,11 @@
     }
 }
 
+/// Returns whether the answer is that of a server that the order was not meant for.
+fn is_foreign(end: &OrderEnd) -> bool {
+    matches!(end, OrderEnd::Answered(OrderAnswer::Refused(400..=499)))
+}
+
 /// Starts to grant a range.
 pub(crate) fn granting(handover: Option<Handover>) -> Step {
     Step::Granting { handover, in_flight: false, at: Millis::ZERO }
--- a/crates/oriolehoist_keyspace/src/server.rs
+++ b/crates/oriolehoist_keyspace/src/server.rs
@@ -73,6 +73,8 @@
     pub(crate) grants_in_flight: u32,
     pub(crate) next_renewal: Millis,
     pub(crate) failures: u32,
+    /// Another server answers at its address: this life has ended.
+    pub(crate) replaced: bool,
     pub(crate) last_answer: Millis,
     pub(crate) work: Work,
 }
@@ -89,6 +91,7 @@
             grants_in_flight: 0,
             next_renewal: now,
             failures: 0,
+            replaced: false,
             last_answer: now,
             work: Work::default(),
         }
@@ -96,7 +99,7 @@
 
     /// Returns whether keys may be given to it.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
-        self.standing == Standing::Ready && !self.is_silent(now)
+        self.standing == Standing::Ready && !self.replaced && !self.is_silent(now)
     }
 
     /// Returns whether orders to it have been without an answer for long.
--- a/crates/oriolehoist_keyspace/src/timing.rs
+++ b/crates/oriolehoist_keyspace/src/timing.rs
@@ -12,7 +12,7 @@
 /// The longest wait for the answer to a release, which comes after the work that is running.
 pub const RELEASE_TIMEOUT: Millis = Millis(1500);
 /// A server without an answer to any order for this long is taken as lost.
-pub(crate) const LOST_AFTER: Millis = Millis(2500);
+pub(crate) const LOST_AFTER: Millis = Millis(1600);
 /// Failed orders in a row before a server is taken as lost.
 pub(crate) const LOST_FAILURES: u32 = 4;
 /// How much slower a server's clock may run, in thousandths; the platform's bound.
--- a/crates/oriolehoist_keyspace/tests/directed.rs
+++ b/crates/oriolehoist_keyspace/tests/directed.rs
@@ -230,3 +230,31 @@
     let routes = assigner.keeper.routes(assigner.now);
     expect_that!(routes.holder(100), some(eq(&Holder::Server(life("c")))));
 }
+
+#[gtest]
+fn keys_of_a_server_whose_address_another_has_are_given_away_at_once() {
+    let servers = ["a", "b"].map(|id| server(id, ServerState::Ready));
+    let mut assigner = Assigner::new(&servers);
+    assigner.run(Millis(1000));
+    let end = assigner.now + Millis(1500);
+    let mut given = None;
+    while given.is_none() && assigner.now < end {
+        for order in assigner.step(HOLD) {
+            let refused = OrderEnd::Answered(OrderAnswer::Refused(400));
+            let replaced = order.server.id == "a";
+            let takes = matches!(order.order, Order::Grant { range, .. } if range.first == 0);
+            if takes && !replaced {
+                given = Some(assigner.now);
+            }
+            let end = if replaced { refused } else { done() };
+            assigner.keeper.on_order_ended(assigner.now, order.flight, &end);
+        }
+    }
+    // The next renewal is due after half a second, well before the hold has lapsed.
+    expect_that!(given, some(lt(Millis(end.0 - 800))));
+    let routes = assigner.keeper.routes(end);
+    expect_that!(
+        routes.0.iter().all(|routed| routed.holder != Holder::Server(life("a"))),
+        eq(true)
+    );
+}
