Let owners go on under a new fence after a takeover

Change: the new assigner grants each range to its owner anew under a higher fence; what the earlier one sent is refused from then on, and a release is proof at once. The owner is asked all the while.

--- a/crates/oriolehoist_keyspace/src/keeper.rs
+++ b/crates/oriolehoist_keyspace/src/keeper.rs
@@ -51,7 +51,7 @@
                 .iter()
                 .map(|(life, fence)| {
                     let server = self.learn(now, life, held_until);
-                    Ending::new(Former { server, fence: *fence })
+                    Ending::new(Former { server, fence: *fence, adopted: true })
                 })
                 .collect();
             let step = match endings.is_empty() {
@@ -59,7 +59,16 @@
                 false => Step::Ending { endings, handover: None },
             };
             let (range, fence) = (assigned.range, assigned.fence);
-            self.slices.push(Slice { range, owner, fence, version: 0, granted: true, step });
+            self.slices.push(Slice {
+                range,
+                owner,
+                fence,
+                version: 0,
+                granted: true,
+                adopted: true,
+                refencing: false,
+                step,
+            });
         }
         self.slices.sort_by_key(|slice| slice.range);
     }
@@ -132,7 +141,9 @@
     /// Plans what is to change. Returns whether anything did: nothing of it is done before a table
     /// with this version is stored.
     pub fn plan(&mut self, now: Millis, version: u64, fences: &mut Fences) -> bool {
-        self.replace_unusable(now, version, fences) | self.balance(now, version, fences)
+        self.refence_adopted(now, version, fences)
+            | self.replace_unusable(now, version, fences)
+            | self.balance(now, version, fences)
     }
 
     /// Returns whether the stored table names earlier owners that have ended, and forgets it. A
@@ -183,6 +194,7 @@
         };
         match &slice.step {
             Step::Held => of(slice.owner),
+            Step::Granting { .. } if slice.refencing => of(slice.owner),
             Step::Planned { renewed: Some(former), .. } => of(former.server),
             Step::Ending { endings, .. } => {
                 let blocked = endings.iter().filter_map(|ending| {
--- a/crates/oriolehoist_keyspace/src/orders.rs
+++ b/crates/oriolehoist_keyspace/src/orders.rs
@@ -72,6 +72,9 @@
         let slice = &self.slices[index];
         let range = slice.range;
         let next = match &slice.step {
+            Step::Planned { .. } if slice.version <= self.stored && slice.refencing => {
+                granting(None)
+            }
             Step::Planned { formers, .. } if slice.version <= self.stored => {
                 let endings = formers.iter().copied().map(Ending::new).collect();
                 Step::Ending { endings, handover: None }
@@ -113,7 +116,7 @@
                         && now >= ending.ask_at
                 })
                 .filter_map(|(position, ending)| {
-                    let Former { server, fence } = ending.former;
+                    let Former { server, fence, .. } = ending.former;
                     let order = Order::Release { range, fence };
                     let sent = self.send(server, range, fence, None, order)?;
                     if let Step::Ending { endings, .. } = &mut self.slices[index].step {
@@ -235,6 +238,8 @@
             match &mut slice.step {
                 Step::Granting { .. } if same && done => {
                     slice.step = Step::Held;
+                    slice.adopted = false;
+                    slice.refencing = false;
                     self.outdated = true;
                 }
                 Step::Granting { in_flight, at, .. } if same => {
@@ -247,19 +252,22 @@
     }
 
     fn release_ended(&mut self, now: Millis, flight: &InFlight, end: &OrderEnd) {
-        let unanswered_until = self.server(flight.server).unanswered_until;
-        let asked_of = Former { server: flight.server, fence: flight.fence };
+        let server = self.server(flight.server);
+        let late_until = [server.late_until(false), server.late_until(true)];
         for slice in &mut self.slices {
             let covered =
                 flight.range.first <= slice.range.first && slice.range.last <= flight.range.last;
             let Step::Ending { endings, handover } = &mut slice.step else { continue };
-            let asked = endings.iter_mut().find(|ending| ending.former == asked_of);
+            let asked = endings.iter_mut().find(|ending| {
+                ending.former.server == flight.server && ending.former.fence == flight.fence
+            });
             let Some(ending) = asked.filter(|_| covered) else { continue };
             ending.asked = false;
+            let late_until = late_until[usize::from(ending.former.adopted)];
             match end {
                 OrderEnd::Answered(OrderAnswer::Done(given)) => {
                     ending.released = true;
-                    ending.until = ending.until.map(|until| until.min(unanswered_until));
+                    ending.until = ending.until.map(|until| until.min(late_until));
                     if given.is_some() {
                         handover.clone_from(given);
                     }
@@ -267,7 +275,7 @@
                 // An owner refuses no release: another server listens where it did.
                 _ if is_foreign(end) => {
                     ending.released = true;
-                    ending.until = ending.until.map(|until| until.min(unanswered_until));
+                    ending.until = ending.until.map(|until| until.min(late_until));
                 }
                 _ => ending.ask_at = now + RETRY_PAUSE,
             }
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -34,6 +34,28 @@
 const USUAL_WORK: f32 = 100.0;
 
 impl Keeper {
+    /// Lets usable owners that an earlier assigner left go on under a new fence.
+    ///
+    /// Answers losses and leaving servers right after a takeover: grants that the earlier assigner
+    /// sent may be carried out late, and would otherwise have to lapse before a range can move.
+    pub(crate) fn refence_adopted(
+        &mut self,
+        now: Millis,
+        version: u64,
+        fences: &mut Fences,
+    ) -> bool {
+        let mut fence = None;
+        for index in 0..self.slices.len() {
+            let slice = &self.slices[index];
+            let adopted = slice.adopted && slice.step == Step::Held;
+            if adopted && self.server(slice.owner).is_usable(now) {
+                let fence = *fence.get_or_insert_with(|| fences.issue());
+                self.slices[index].refence(version, fence);
+            }
+        }
+        fence.is_some()
+    }
+
     /// Gives ranges that no usable server owns to others.
     pub(crate) fn replace_unusable(
         &mut self,
@@ -112,7 +134,7 @@
             let (Some(busiest), Some(least)) = (busiest(&loads), least_used(&loads)) else { break };
             let (from, to) = (loads[busiest], loads[least]);
             // Its keys would be nobody's until the grants without an answer have lapsed.
-            let blocked = self.server(from.key).unanswered_until > now;
+            let blocked = self.server(from.key).late_until(false) > now;
             let enough = blocked || from.use_share() < (mean * TOO_BUSY).max(WORTH_BALANCING);
             if enough || self.slices.len() >= MOST_SLICES {
                 break;
@@ -143,7 +165,7 @@
         let worth_it = slice.step == Step::Held
             && rate > owner.capacity * TOO_HOT
             && fastest.capacity > owner.capacity * MUCH_FASTER
-            && self.server(slice.owner).unanswered_until <= now
+            && self.server(slice.owner).late_until(slice.adopted) <= now
             && self.slices.len() < MOST_SLICES;
         let part = worth_it.then(|| self.carve(index, KeyRange { first: key, last: key }))?;
         Some((part, fastest.key))
@@ -196,6 +218,8 @@
                     fence,
                     version,
                     granted: false,
+                    adopted: false,
+                    refencing: false,
                     step,
                 });
                 first = end;
@@ -207,6 +231,8 @@
     fn merge(&mut self) {
         self.slices.dedup_by(|next, slice| {
             let joined = slice.step == Step::Held
+                && !slice.adopted
+                && !next.adopted
                 && next.step == Step::Held
                 && (slice.owner, slice.fence) == (next.owner, next.fence);
             if joined {
@@ -238,7 +264,9 @@
     /// Returns the run of neighbouring keys of a server that has most load, at most `wanted`.
     fn busy_piece(&self, server: ServerKey, wanted: f32) -> Option<Piece> {
         let held = self.slices.iter().enumerate();
-        let held = held.filter(|(_, slice)| slice.owner == server && slice.step == Step::Held);
+        let held = held.filter(|(_, slice)| {
+            slice.owner == server && slice.step == Step::Held && !slice.adopted
+        });
         held.filter_map(|(index, slice)| {
             let keys: Vec<(u16, f32)> = self.load.within(slice.range).collect();
             let (range, rate) = busiest_run(&keys, wanted)?;
--- a/crates/oriolehoist_keyspace/src/server.rs
+++ b/crates/oriolehoist_keyspace/src/server.rs
@@ -67,8 +67,10 @@
     pub(crate) standing: Standing,
     /// When every grant that it may ever have got has lapsed.
     pub(crate) holds_until: Millis,
-    /// When every grant has lapsed that got no answer and may still be carried out.
+    /// When every grant of this assigner has lapsed that got no answer and may still be carried out.
     pub(crate) unanswered_until: Millis,
+    /// The same for grants of earlier assigners.
+    pub(crate) adopted_until: Millis,
     /// Grants that are on their way.
     pub(crate) grants_in_flight: u32,
     pub(crate) next_renewal: Millis,
@@ -87,7 +89,8 @@
             slots: 1,
             standing: Standing::Leaving,
             holds_until: held_until,
-            unanswered_until: held_until,
+            unanswered_until: Millis::ZERO,
+            adopted_until: held_until,
             grants_in_flight: 0,
             next_renewal: now,
             failures: 0,
@@ -107,6 +110,15 @@
         self.failures >= LOST_FAILURES && now.since(self.last_answer) >= LOST_AFTER
     }
 
+    /// Returns until when a grant without an answer may be in force, after a release of an ownership
+    /// that an earlier assigner granted, or this one.
+    pub(crate) fn late_until(&self, adopted: bool) -> Millis {
+        match adopted {
+            true => self.unanswered_until.max(self.adopted_until),
+            false => self.unanswered_until,
+        }
+    }
+
     /// Notes that a grant arrived at `now` at the latest.
     pub(crate) fn on_grant_arrived(&mut self, now: Millis, hold: Millis, answered: bool) {
         let end = hold_end(now, hold);
--- a/crates/oriolehoist_keyspace/src/slice.rs
+++ b/crates/oriolehoist_keyspace/src/slice.rs
@@ -14,6 +14,10 @@
     pub(crate) version: u64,
     /// Whether the owner may already have been granted the range under this fence.
     pub(crate) granted: bool,
+    /// Only grants of an earlier assigner are known, of which some may be carried out late.
+    pub(crate) adopted: bool,
+    /// The owner goes on under a new fence.
+    pub(crate) refencing: bool,
     pub(crate) step: Step,
 }
 
@@ -22,6 +26,8 @@
 pub(crate) struct Former {
     pub(crate) server: ServerKey,
     pub(crate) fence: u64,
+    /// It was granted by an earlier assigner, and by this one not yet under a higher fence.
+    pub(crate) adopted: bool,
 }
 
 /// How far a change of owner has come.
@@ -71,7 +77,7 @@
     pub(crate) fn renewed(&self) -> Option<Former> {
         match &self.step {
             Step::Planned { renewed, .. } => *renewed,
-            Step::Held => Some(Former { server: self.owner, fence: self.fence }),
+            Step::Held => Some(self.ownership()),
             Step::Ending { .. } | Step::Granting { .. } => None,
         }
     }
@@ -85,13 +91,28 @@
         }
     }
 
+    fn ownership(&self) -> Former {
+        Former { server: self.owner, fence: self.fence, adopted: self.adopted }
+    }
+
+    /// Lets the owner go on under a new fence, so that it refuses what an earlier assigner sent.
+    pub(crate) fn refence(&mut self, version: u64, fence: u64) {
+        let former = self.ownership();
+        self.fence = fence;
+        self.version = version;
+        self.refencing = true;
+        self.step = Step::Planned { formers: vec![former], renewed: Some(former) };
+    }
+
     /// Gives the range a new owner.
     pub(crate) fn reassign(&mut self, to: ServerKey, version: u64, fence: u64) {
         let renewed = self.renewed();
         let mut formers = self.formers();
         if self.granted {
-            formers.push(Former { server: self.owner, fence: self.fence });
+            formers.push(self.ownership());
         }
+        self.adopted = false;
+        self.refencing = false;
         self.owner = to;
         self.fence = fence;
         self.version = version;
