Keep one copy of connection pools, published views and revisions, and split the actor

Change: IdleLinks serves servers, orders, store and peers; oriolehoist_publish serves both daemons; the port's revision and lease serve both store clients; what followers do and the message handlers have files of their own.

--- a/crates/oriolehoist_daemon/src/version/mod.rs
+++ b/crates/oriolehoist_daemon/src/version/mod.rs
@@ -2,4 +2,4 @@
 
 mod view;
 
-pub(crate) use view::{ServiceView, View, ViewCell};
+pub(crate) use view::{ServiceView, View};
--- a/crates/oriolehoist_daemon/src/version/view.rs
+++ b/crates/oriolehoist_daemon/src/version/view.rs
@@ -1,13 +1,11 @@
 use {
     crate::connection::Backend,
-    arc_swap::ArcSwapOption,
     oriolehoist_protocol::{Assignment, ServerName, ServiceName, Version},
     oriolehoist_settings::{Service, Settings, TimingValues},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
     },
-    tokio::sync::watch,
 };
 
 /// Everything that the traffic threads need to know. Immutable: a change makes a new one.
@@ -29,33 +27,3 @@
     /// The servers that get no new work.
     pub(crate) leaving: BTreeSet<ServerName>,
 }
-
-/// Where control publishes views and traffic reads them.
-pub(crate) struct ViewCell {
-    view: ArcSwapOption<View>,
-    changes: watch::Sender<u64>,
-}
-
-impl Default for ViewCell {
-    fn default() -> ViewCell {
-        ViewCell { view: ArcSwapOption::empty(), changes: watch::Sender::new(0) }
-    }
-}
-
-impl ViewCell {
-    /// Returns the present view, or `None` before there are settings.
-    pub(crate) fn load(&self) -> Option<Arc<View>> {
-        self.view.load_full()
-    }
-
-    /// Replaces the view and wakes whoever waits for a change.
-    pub(crate) fn publish(&self, view: View) {
-        self.view.store(Some(Arc::new(view)));
-        self.changes.send_modify(|count| *count += 1);
-    }
-
-    /// Returns a receiver that learns of every later change.
-    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
-    }
-}
--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -1,5 +1,5 @@
 use {
-    crate::connection::{CallError, Link, Sent, link::Answered},
+    crate::connection::{CallError, IdleLinks, Link, Sent, link::Answered},
     bytes::Bytes,
     http::{HeaderName, HeaderValue, Method},
     oriolehoist_admission::{AtServer, AtServerEnd, Gauge},
@@ -44,7 +44,7 @@
     pub(crate) zone: SmolStr,
     source: IpAddr,
     clock: Clock,
-    idle: Mutex<Vec<Idle>>,
+    idle: IdleLinks,
     gauge: Mutex<Gauge>,
     /// How many connections this daemon may have open to it.
     share: AtomicU32,
@@ -52,12 +52,6 @@
     leaving_since: AtomicU64,
 }
 
-#[derive(Debug)]
-struct Idle {
-    link: Link,
-    until: Millis,
-}
-
 impl Backend {
     fn new(source: IpAddr, clock: Clock, entry: &RegisteredServer) -> Backend {
         let work = match entry.warm_up_left {
@@ -73,7 +67,7 @@
             zone: entry.zone.clone(),
             source,
             clock,
-            idle: Mutex::default(),
+            idle: IdleLinks::default(),
             gauge: Mutex::new(Gauge::new(entry.slots, work)),
             share: AtomicU32::new(entry.slots),
             leaving_since: AtomicU64::new(0),
@@ -125,7 +119,7 @@
         id: (&HeaderName, &HeaderValue),
         sent: &mut Sent,
     ) -> Result<Answered, CallError> {
-        let mut link = match self.take_idle() {
+        let mut link = match self.idle.take(self.clock.now(), self.address) {
             Some(link) => link,
             None => self.open().await?,
         };
@@ -149,26 +143,12 @@
         }
     }
 
-    fn take_idle(&self) -> Option<Link> {
-        let now = self.clock.now();
-        let mut idle = self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        idle.retain(|kept| now < kept.until);
-        while let Some(kept) = idle.pop() {
-            if kept.link.is_quiet() {
-                return Some(kept.link);
-            }
-        }
-        None
-    }
-
     fn keep(&self, link: Link, idle_seconds: Option<u64>) {
         let timeout = match idle_seconds {
             Some(seconds) => Millis(Millis::from_secs(seconds).0.saturating_sub(IDLE_MARGIN.0)),
             None => IDLE_TIMEOUT,
         };
-        let until = self.clock.now() + timeout;
-        let mut idle = self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        idle.push(Idle { link, until });
+        self.idle.keep(self.clock.now() + timeout, self.address, link);
     }
 }
 
--- a/crates/oriolehoist_edge/src/connection/mod.rs
+++ b/crates/oriolehoist_edge/src/connection/mod.rs
@@ -2,10 +2,12 @@
 
 mod backend;
 mod callers;
+mod idle;
 mod link;
 
 pub(crate) use {
     backend::{Backend, Backends},
     callers::serve_callers,
+    idle::IdleLinks,
     link::{CallError, Link, Sent},
 };
--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -5,16 +5,12 @@
             assigner::Assigner,
             election::stand,
             knowledge::Knowledge,
-            message::{Candidacy, Input, Member, Stamp, Sync, SyncAnswer, Versions},
+            message::{Candidacy, Input, Member, Stamp, Sync},
             peers::send_sync,
         },
         process::Shared,
     },
-    kameo::{
-        Actor,
-        actor::ActorRef,
-        message::{Context, Message},
-    },
+    kameo::{Actor, actor::ActorRef},
     oriolehoist_keyspace::Table,
     oriolehoist_log::{Event, report},
     oriolehoist_port::StoreCall,
@@ -36,22 +32,22 @@
 /// The actor that holds all control state of a daemon.
 #[derive(Actor)]
 pub(crate) struct Control {
-    cx: Arc<Shared>,
-    store: Arc<StoreClient>,
-    me: Member,
+    pub(super) cx: Arc<Shared>,
+    pub(super) store: Arc<StoreClient>,
+    pub(super) me: Member,
     pub(super) known: Knowledge,
-    role: Role,
+    pub(super) role: Role,
     started: Millis,
     /// When the assigner was last heard.
-    heard_at: Millis,
-    heard: bool,
-    term: u64,
+    pub(super) heard_at: Millis,
+    pub(super) heard: bool,
+    pub(super) term: u64,
     /// The last reading of the servers succeeded, and the next one waits for changes.
     watching_servers: bool,
 }
 
 /// What the daemon is to the others.
-enum Role {
+pub(super) enum Role {
     Follower {
         next_try: Millis,
     },
@@ -60,16 +56,6 @@
     Assigner(Box<Assigner>),
 }
 
-/// The daemon is to hand its role over and take no new one.
-pub(crate) struct Stop;
-
-/// The daemon is asked what it knows.
-pub(crate) struct AskKnowledge;
-
-/// Wraps a reply, so that any type can be one.
-#[derive(Debug, kameo::Reply)]
-pub(crate) struct Reply<T: Send + 'static>(pub(crate) T);
-
 impl Control {
     pub(crate) fn new(cx: Arc<Shared>, store: Arc<StoreClient>, me: Member) -> Control {
         let now = cx.clock.now();
@@ -87,7 +73,7 @@
         }
     }
 
-    fn now(&self) -> Millis {
+    pub(super) fn now(&self) -> Millis {
         self.cx.clock.now()
     }
 
@@ -131,7 +117,7 @@
         self.update_readiness();
     }
 
-    fn update_readiness(&self) {
+    pub(super) fn update_readiness(&self) {
         let ready = self.known.can_serve() && !self.cx.is_stopping();
         if self.cx.ready.swap(ready, Ordering::Relaxed) != ready {
             report(Event::Readiness, format_args!("ready={ready}"));
@@ -145,7 +131,7 @@
     }
 
     /// Tells the peers what they lack, and that the assigner lives.
-    fn sync_peers(&mut self, me: &ActorRef<Control>, resigning: bool) {
+    pub(super) fn sync_peers(&mut self, me: &ActorRef<Control>, resigning: bool) {
         let now = self.now();
         let Role::Assigner(assigner) = &mut self.role else { return };
         let peers = self.known.members.len() as u64;
@@ -207,7 +193,7 @@
         });
     }
 
-    fn step_down(&mut self, why: &str) {
+    pub(super) fn step_down(&mut self, why: &str) {
         if let Role::Assigner(assigner) = &self.role {
             assigner.sender.revoke();
             report(Event::TermLost, format_args!("term={} why=\"{why}\"", self.term));
@@ -216,7 +202,7 @@
         }
     }
 
-    fn on_input(&mut self, me: &ActorRef<Control>, input: Input) {
+    pub(super) fn on_input(&mut self, me: &ActorRef<Control>, input: Input) {
         let now = self.now();
         match input {
             Input::Tick => self.tick(me),
@@ -327,150 +313,10 @@
         }
     }
 
-    fn on_sync(&mut self, sync: Sync) -> SyncAnswer {
-        let now = self.now();
-        if sync.term >= self.term && sync.from != self.me {
-            if sync.term > self.term {
-                self.step_down("another daemon is the assigner");
-            }
-            self.term = sync.term;
-            if !self.heard {
-                self.heard = true;
-                let (term, from) = (sync.term, &sync.from.instance);
-                report(Event::AssignerHeard, format_args!("heard=true term={term} from={from}"));
-            }
-            self.heard_at = if sync.resigning { Millis::ZERO } else { now };
-            self.learn(now, sync);
-        }
-        let lacks = Versions { config: 0, ..self.known.versions };
-        SyncAnswer {
-            incarnation: self.cx.incarnation,
-            term: self.term,
-            versions: Versions { config: self.known.versions.config, ..lacks },
-            config: None,
-            load: self.cx.take_load(),
-        }
-    }
-
-    fn learn(&mut self, now: Millis, sync: Sync) {
-        let mut changed = false;
-        if let Some(bytes) = &sync.config {
-            changed |= self.known.offer_config(&self.cx, bytes);
-        }
-        let fresh_at = Millis(now.0.saturating_sub(sync.servers_age.0));
-        if let Some(list) = sync.servers {
-            changed |= self.known.offer_servers(fresh_at, list);
-            self.known.versions.servers = sync.versions.servers;
-        } else if self.known.versions.servers == sync.versions.servers {
-            self.known.servers_fresh_at = self.known.servers_fresh_at.max(fresh_at);
-        }
-        if let Some(routes) = sync.routes {
-            changed |= self.known.offer_routes(sync.versions.routes, routes);
-        }
-        if let Some(members) = sync.members {
-            changed |= self.known.members != members;
-            self.known.members = members;
-            self.known.versions.members = sync.versions.members;
-        }
-        if changed {
-            self.known.publish(&self.cx);
-        }
-        self.update_readiness();
-    }
-
-    /// Returns everything that this daemon knows, as a message to a peer that starts.
-    fn knowledge(&self) -> Sync {
-        let known = &self.known;
-        Sync {
-            from: self.me.clone(),
-            term: self.term,
-            versions: known.versions,
-            servers_age: self.now().since(known.servers_fresh_at),
-            resigning: false,
-            config: known.config.as_ref().map(|_| known.config_bytes.clone()),
-            servers: Some(known.servers.clone()),
-            routes: Some(known.routes.clone()),
-            members: Some(known.members.clone()),
-        }
-    }
-
     /// Returns whether this daemon reads the servers in the store itself: as the assigner, or
     /// because what the assigner said has grown old.
-    fn reads_servers(&self) -> bool {
+    pub(super) fn reads_servers(&self) -> bool {
         let old = self.now().since(self.known.servers_fresh_at) > SILENCE;
         matches!(self.role, Role::Assigner(_)) || old
     }
 }
-
-impl Message<Input> for Control {
-    type Reply = ();
-
-    async fn handle(&mut self, input: Input, cx: &mut Context<Self, ()>) {
-        let me = cx.actor_ref();
-        self.on_input(&me, input);
-    }
-}
-
-impl Message<Sync> for Control {
-    type Reply = Reply<SyncAnswer>;
-
-    async fn handle(&mut self, sync: Sync, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let offered = sync.versions.config;
-        let mut answer = self.on_sync(sync);
-        if self.known.versions.config > offered {
-            answer.config = Some(self.known.config_bytes.clone());
-        }
-        Reply(answer)
-    }
-}
-
-impl Message<AskKnowledge> for Control {
-    type Reply = Reply<Sync>;
-
-    async fn handle(&mut self, _: AskKnowledge, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        Reply(self.knowledge())
-    }
-}
-
-/// The reader of the servers asks whether it is needed, and whether as the assigner's.
-pub(crate) struct AskReading;
-
-impl Message<AskReading> for Control {
-    type Reply = Reply<Reading>;
-
-    async fn handle(&mut self, _: AskReading, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        Reply(Reading {
-            servers: self.reads_servers(),
-            members: matches!(self.role, Role::Assigner(_)),
-            config: self.known.config.is_some(),
-        })
-    }
-}
-
-/// What a daemon reads in the store.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Reading {
-    pub(crate) servers: bool,
-    pub(crate) members: bool,
-    /// Whether there is a configuration.
-    pub(crate) config: bool,
-}
-
-impl Message<Stop> for Control {
-    type Reply = ();
-
-    async fn handle(&mut self, _: Stop, cx: &mut Context<Self, ()>) {
-        let me = cx.actor_ref();
-        self.update_readiness();
-        if let Role::Assigner(assigner) = &self.role {
-            let lease = assigner.lease();
-            assigner.sender.revoke();
-            // What is on its way ends before the next assigner gives orders.
-            tokio::time::sleep(std::time::Duration::from(oriolehoist_keyspace::ORDER_TIMEOUT))
-                .await;
-            let _ = self.store.call(StoreCall::EndLease(lease)).await;
-            self.sync_peers(&me, true);
-            self.step_down("the daemon is stopping");
-        }
-    }
-}
--- a/crates/oriolehoist_edge/src/control/mod.rs
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -3,6 +3,8 @@
 mod actor;
 mod assigner;
 mod election;
+mod follower;
+mod handlers;
 mod knowledge;
 mod message;
 mod occupancy;
@@ -13,7 +15,8 @@
 mod tasks;
 
 pub(crate) use {
-    actor::{Control, Stop},
+    actor::Control,
+    handlers::Stop,
     message::Member,
     peers::{control_router, metrics_router, readiness_router},
     store::StoreClient,
--- a/crates/oriolehoist_edge/src/control/orders.rs
+++ b/crates/oriolehoist_edge/src/control/orders.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection::{CallError, Link, Sent},
+        connection::{CallError, IdleLinks, Link, Sent},
         process::Shared,
     },
     http::{HeaderMap, HeaderValue, header},
@@ -15,7 +15,7 @@
         collections::HashMap,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
         time::Duration,
@@ -43,13 +43,13 @@
     /// Until when this daemon is certainly the assigner.
     permitted_until: AtomicU64,
     lanes: Mutex<HashMap<(SocketAddr, bool), Arc<Lane>>>,
-    idle: Mutex<HashMap<SocketAddr, Vec<(Millis, Link)>>>,
+    idle: IdleLinks,
 }
 
 impl OrderSender {
     pub(crate) fn new(cx: Arc<Shared>, permitted_until: Millis) -> OrderSender {
         let permitted_until = AtomicU64::new(permitted_until.0);
-        OrderSender { cx, permitted_until, lanes: Mutex::default(), idle: Mutex::default() }
+        OrderSender { cx, permitted_until, lanes: Mutex::default(), idle: IdleLinks::default() }
     }
 
     pub(crate) fn permitted_until(&self) -> Millis {
@@ -63,7 +63,7 @@
     /// Ends the permission for good.
     pub(crate) fn revoke(&self) {
         self.permitted_until.store(0, Ordering::Relaxed);
-        self.lock_idle().clear();
+        self.idle.clear();
     }
 
     fn is_permitted(&self) -> bool {
@@ -122,7 +122,7 @@
         }
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let message = encode_request(&http.method, &http.path, &headers, &http.body);
-        let mut link = match self.take_idle(to.address) {
+        let mut link = match self.idle.take(self.cx.clock.now(), to.address) {
             Some(link) => link,
             None => match Link::open(self.cx.source(), to.address, CONNECT_WAIT).await {
                 Ok(link) => link,
@@ -139,8 +139,7 @@
         match called.unwrap_or(Err(CallError::TimedOut)) {
             Ok(answered) => {
                 if answered.reusable && self.is_permitted() {
-                    let kept = (self.cx.clock.now(), link);
-                    self.lock_idle().entry(to.address).or_default().push(kept);
+                    self.idle.keep(self.cx.clock.now() + IDLE_TIMEOUT, to.address, link);
                 }
                 OrderEnd::Answered(self.cx.platform.order_answer(&answered.answer))
             }
@@ -150,21 +149,4 @@
             }
         }
     }
-
-    fn take_idle(&self, address: SocketAddr) -> Option<Link> {
-        let now = self.cx.clock.now();
-        let mut idle = self.lock_idle();
-        let links = idle.get_mut(&address)?;
-        links.retain(|(since, _)| now.since(*since) < IDLE_TIMEOUT);
-        while let Some((_, link)) = links.pop() {
-            if link.is_quiet() {
-                return Some(link);
-            }
-        }
-        None
-    }
-
-    fn lock_idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<(Millis, Link)>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -4,7 +4,8 @@
     crate::{
         connection::{CallError, Link, Sent},
         control::{
-            actor::{AskKnowledge, Control, Reply},
+            actor::Control,
+            handlers::{AskKnowledge, Reply},
             message::{Input, Member, Sync, SyncAnswer},
         },
         process::Shared,
@@ -35,6 +36,8 @@
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// The longest wait for a peer's answer.
 const ANSWER_WAIT: Millis = Millis(500);
+/// How long an idle connection to a peer is used again.
+const IDLE_TIMEOUT: Millis = Millis(3000);
 /// The longest wait for a connection to a peer.
 const CONNECT_WAIT: Millis = Millis(250);
 
@@ -121,14 +124,14 @@
     headers.insert(header::HOST, HeaderValue::from_str(&address.to_string()).ok()?);
     let request = encode_request(&Method::POST, path, &headers, &body);
     let exchange = async {
-        let mut link = match cx.take_peer_link(address) {
+        let mut link = match cx.peer_links.take(cx.clock.now(), address) {
             Some(link) => link,
             None => Link::open(cx.source(), address, CONNECT_WAIT).await?,
         };
         let mut sent = Sent::Nothing;
         let answered = link.call(&Method::POST, request, None, &mut sent).await?;
         if answered.reusable {
-            cx.keep_peer_link(address, link);
+            cx.peer_links.keep(cx.clock.now() + IDLE_TIMEOUT, address, link);
         }
         Ok::<_, CallError>(answered.answer)
     };
--- a/crates/oriolehoist_edge/src/control/store.rs
+++ b/crates/oriolehoist_edge/src/control/store.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{CallError, Link, Sent},
+        connection::{CallError, IdleLinks, Link, Sent},
         process::Shared,
     },
     derive_more::Display,
@@ -9,10 +9,7 @@
     oriolehoist_log::{Event, report},
     oriolehoist_port::{StoreAnswer, StoreCall},
     oriolehoist_time::Millis,
-    std::{
-        sync::{Arc, Mutex, PoisonError},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -43,12 +40,12 @@
 /// The client of the platform's store.
 pub(crate) struct StoreClient {
     cx: Arc<Shared>,
-    idle: Mutex<Vec<(Millis, Link)>>,
+    idle: IdleLinks,
 }
 
 impl StoreClient {
     pub(crate) fn new(cx: Arc<Shared>) -> StoreClient {
-        StoreClient { cx, idle: Mutex::default() }
+        StoreClient { cx, idle: IdleLinks::default() }
     }
 
     /// Makes a call.
@@ -74,7 +71,7 @@
         }
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let message = encode_request(&http.method, &http.path, &headers, &http.body);
-        let mut link = match self.take_idle() {
+        let mut link = match self.idle.take(self.cx.clock.now(), self.cx.boot.store) {
             Some(link) => link,
             None => Link::open(self.cx.source(), self.cx.boot.store, CONNECT_WAIT)
                 .await
@@ -92,7 +89,8 @@
             }
         };
         if answered.reusable {
-            self.lock_idle().push((self.cx.clock.now(), link));
+            let until = self.cx.clock.now() + IDLE_TIMEOUT;
+            self.idle.keep(until, self.cx.boot.store, link);
         }
         match self.cx.platform.store_answer(call, &answered.answer) {
             Ok(Some(answer)) => Ok(answer),
@@ -100,20 +98,4 @@
             Err(_) => Err(StoreError::Malformed),
         }
     }
-
-    fn take_idle(&self) -> Option<Link> {
-        let now = self.cx.clock.now();
-        let mut idle = self.lock_idle();
-        idle.retain(|(since, _)| now.since(*since) < IDLE_TIMEOUT);
-        while let Some((_, link)) = idle.pop() {
-            if link.is_quiet() {
-                return Some(link);
-            }
-        }
-        None
-    }
-
-    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<(Millis, Link)>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -4,8 +4,8 @@
     crate::{
         control::{
             Control, StoreClient,
-            actor::{AskReading, Reading, Reply},
             election::{MEMBERS_PREFIX, TABLE_KEY},
+            handlers::{AskReading, Reading, Reply},
             message::{Input, Member},
             occupancy::exchange,
             peers::ask_knowledge,
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -1,14 +1,15 @@
 use {
-    crate::{connection::Link, process::Metrics, version::ViewCell},
+    crate::{connection::IdleLinks, process::Metrics, version::View},
     oriolehoist_admission::RetryBudget,
     oriolehoist_keyspace::LoadReport,
     oriolehoist_port::{Boot, CallerLimits, Platform},
+    oriolehoist_publish::Published,
     oriolehoist_time::{Clock, Millis},
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::{
         collections::{BTreeMap, HashMap},
-        net::{IpAddr, SocketAddr},
+        net::IpAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -29,9 +30,6 @@
 
 /// Time between reports of how fast the servers are.
 const WORK_REPORT_INTERVAL: Millis = Millis(400);
-/// How long an idle connection to a peer is used again.
-const PEER_IDLE_TIMEOUT: Millis = Millis(3000);
-
 /// What every thread of a daemon shares.
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
@@ -39,7 +37,7 @@
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) incarnation: Incarnation,
     pub(crate) metrics: Metrics,
-    pub(crate) view: ViewCell,
+    pub(crate) view: Published<View>,
     pub(crate) ready: AtomicBool,
     stopping: AtomicBool,
     stopping_since: AtomicU64,
@@ -47,7 +45,8 @@
     retries: Mutex<HashMap<SmolStr, RetryBudget>>,
     key_counts: Mutex<BTreeMap<SmolStr, HashMap<u16, u32>>>,
     work_reported: AtomicU64,
-    peer_links: Mutex<HashMap<SocketAddr, (Millis, Link)>>,
+    /// Open connections to the other daemons.
+    pub(crate) peer_links: IdleLinks,
 }
 
 impl Shared {
@@ -58,7 +57,7 @@
             platform,
             incarnation: Incarnation(fastrand::u64(1..)),
             metrics: Metrics::new()?,
-            view: ViewCell::default(),
+            view: Published::default(),
             ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
@@ -66,7 +65,7 @@
             retries: Mutex::default(),
             key_counts: Mutex::default(),
             work_reported: AtomicU64::new(0),
-            peer_links: Mutex::default(),
+            peer_links: IdleLinks::default(),
         })
     }
 
@@ -75,17 +74,6 @@
         self.boot.peers.ip()
     }
 
-    /// Takes the open connection to a peer, if it can still be used.
-    pub(crate) fn take_peer_link(&self, address: SocketAddr) -> Option<Link> {
-        let (since, link) = lock(&self.peer_links).remove(&address)?;
-        let fresh = self.clock.now().since(since) < PEER_IDLE_TIMEOUT;
-        (fresh && link.is_quiet()).then_some(link)
-    }
-
-    pub(crate) fn keep_peer_link(&self, address: SocketAddr, link: Link) {
-        lock(&self.peer_links).insert(address, (self.clock.now(), link));
-    }
-
     pub(crate) fn caller_limits(&self) -> CallerLimits {
         self.view.load().map_or_else(CallerLimits::default, |view| view.config.limits)
     }
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -175,8 +175,9 @@
         let gauge = backend.gauge();
         (gauge.wait(now), gauge.expected(now))
     };
-    let refuse =
-        |rule, after: Millis| Some(Refusal::new(Kind::Overloaded, rule).come_back(after.max(SOON)));
+    let refuse = |rule, after: Millis| {
+        Some(Refusal::new(Kind::Overloaded, rule).wait(wait).come_back(after.max(SOON)))
+    };
     let over = expected.since(job.route.objective);
     match () {
         () if now >= job.deadline => refuse("the deadline has passed", SOON),
--- a/crates/oriolehoist_edge/src/version/mod.rs
+++ b/crates/oriolehoist_edge/src/version/mod.rs
@@ -2,4 +2,4 @@
 
 mod view;
 
-pub(crate) use view::{Parts, View, ViewCell};
+pub(crate) use view::{Parts, View};
--- a/crates/oriolehoist_edge/src/version/view.rs
+++ b/crates/oriolehoist_edge/src/version/view.rs
@@ -1,6 +1,5 @@
 use {
     crate::connection::Backend,
-    arc_swap::ArcSwapOption,
     oriolehoist_keyspace::KeyRoutes,
     oriolehoist_port::{Configuration, Route},
     smol_str::SmolStr,
@@ -9,7 +8,6 @@
         net::SocketAddr,
         sync::Arc,
     },
-    tokio::sync::watch,
 };
 
 /// Everything that serving a request needs to know. Immutable: a change makes a new one.
@@ -86,33 +84,3 @@
         matching.find(|route| path.starts_with(route.prefix.as_str()))
     }
 }
-
-/// Where control publishes views and traffic reads them.
-pub(crate) struct ViewCell {
-    view: ArcSwapOption<View>,
-    changes: watch::Sender<u64>,
-}
-
-impl Default for ViewCell {
-    fn default() -> ViewCell {
-        ViewCell { view: ArcSwapOption::empty(), changes: watch::Sender::new(0) }
-    }
-}
-
-impl ViewCell {
-    /// Returns the present view, or `None` before there is a configuration.
-    pub(crate) fn load(&self) -> Option<Arc<View>> {
-        self.view.load_full()
-    }
-
-    /// Replaces the view and wakes whoever waits for a change.
-    pub(crate) fn publish(&self, view: View) {
-        self.view.store(Some(Arc::new(view)));
-        self.changes.send_modify(|count| *count += 1);
-    }
-
-    /// Returns a receiver that learns of every later change.
-    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
-    }
-}
--- a/crates/oriolehoist_platform/src/message.rs
+++ b/crates/oriolehoist_platform/src/message.rs
@@ -1,26 +1,9 @@
 use {
-    derive_more::Display,
+    oriolehoist_port::{LeaseId, Revision},
     oriolehoist_time::Millis,
     serde::{Deserialize, Serialize},
 };
 
-/// The revision of an entry. Every write raises it.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
-
-impl Revision {
-    /// Stands for "the key does not exist" in a compare-and-swap.
-    pub const ABSENT: Revision = Revision(0);
-}
-
-/// Identifies a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct LeaseId(pub u64);
-
 /// One key with its value.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
