Keep servers whose registrations lapsed with the store

Ruled out: the wait of 2.5 s after a start, which did not apply to a daemon that had run on. Change: a reader of the servers starts from what the daemon knows, and nothing is planned until lapsed registrations had the time to come back.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -44,6 +44,8 @@
     pub(super) term: u64,
     /// The last reading of the servers succeeded, and the next one waits for changes.
     watching_servers: bool,
+    /// Until when servers may be missing that live.
+    servers_settle_at: Millis,
 }
 
 /// What the daemon is to the others.
@@ -70,6 +72,7 @@
             heard: false,
             term: 0,
             watching_servers: false,
+            servers_settle_at: Millis::ZERO,
         }
     }
 
@@ -169,7 +172,8 @@
         self.role = Role::Follower { next_try: now + CANDIDACY_PAUSE };
         let Candidacy::Won { won, table } = candidacy else { return };
         match Assigner::new(&self.cx, self.started, won, table, &self.known) {
-            Ok(assigner) if !self.cx.is_stopping() => {
+            Ok(mut assigner) if !self.cx.is_stopping() => {
+                assigner.wait_for_servers(self.servers_settle_at);
                 self.term = won.term.0;
                 report(Event::TermWon, format_args!("term={}", self.term));
                 self.known.versions.servers = self.next_stamp(Stamp::default());
@@ -231,11 +235,13 @@
                 }
             }
             Input::ServersUnread => self.watching_servers = false,
-            Input::Servers { began, list } => {
+            Input::Servers { began, list, settles_at } => {
                 self.watching_servers = true;
+                self.servers_settle_at = settles_at;
                 let changed = self.known.offer_servers(began, list);
                 match &mut self.role {
                     Role::Assigner(assigner) => {
+                        assigner.wait_for_servers(settles_at);
                         assigner.on_servers(now, &self.known, changed);
                         if changed {
                             let stamp = self.known.versions.servers;
--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -118,6 +118,11 @@
         Ok(assigner)
     }
 
+    /// Plans nothing before this moment, since servers that live may not have registered again.
+    pub(crate) fn wait_for_servers(&mut self, until: Millis) {
+        self.plan_from = self.plan_from.max(until);
+    }
+
     /// Returns whether this daemon may act as the assigner.
     pub(crate) fn is_permitted(&self, now: Millis) -> bool {
         now < self.sender.permitted_until()
--- a/crates/oriolehoist_edge/src/control/handlers.rs
+++ b/crates/oriolehoist_edge/src/control/handlers.rs
@@ -3,7 +3,7 @@
 use {
     crate::control::{
         actor::{Control, Role},
-        message::{Input, Sync, SyncAnswer},
+        message::{Input, ServerList, Sync, SyncAnswer},
     },
     kameo::message::{Context, Message},
     oriolehoist_port::StoreCall,
@@ -19,6 +19,9 @@
 /// The reader of the store asks what is needed.
 pub(crate) struct AskReading;
 
+/// The reader of the servers asks which ones are known.
+pub(crate) struct AskServers;
+
 /// Wraps a reply, so that any type can be one.
 #[derive(Debug, kameo::Reply)]
 pub(crate) struct Reply<T: Send + 'static>(pub(crate) T);
@@ -74,6 +77,14 @@
     }
 }
 
+impl Message<AskServers> for Control {
+    type Reply = Reply<ServerList>;
+
+    async fn handle(&mut self, _: AskServers, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        Reply(self.known.servers.clone())
+    }
+}
+
 impl Message<Stop> for Control {
     type Reply = ();
 
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -77,7 +77,8 @@
     /// A configuration was read in the store or came from a peer.
     Config(Bytes),
     /// The servers were read in the store by a reading that began at this time.
-    Servers { began: Millis, list: ServerList },
+    /// Until `settles_at` servers may be missing that live.
+    Servers { began: Millis, list: ServerList, settles_at: Millis },
     /// The stored table was read.
     StoredTable(Bytes),
     /// The servers could not be read.
--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -35,10 +35,21 @@
 }
 
 impl ServerReader {
-    /// Forgets everything: what was read before a pause says nothing about what vanished since.
-    pub(crate) fn restart(&mut self) {
+    /// Forgets what was read before a pause, and starts from what this daemon knows meanwhile.
+    pub(crate) fn restart(&mut self, platform: &dyn Platform, known: &ServerList) {
         let malformed = std::mem::take(&mut self.malformed);
-        *self = ServerReader { malformed, ..ServerReader::default() };
+        let key = |server: &RegisteredServer| format!("{}{}", platform.servers_prefix(), server.id);
+        let entries = known.servers.iter().map(|server| (key(server), Some(server.clone())));
+        let entries = entries.collect();
+        *self = ServerReader { malformed, entries, ..ServerReader::default() };
+    }
+
+    /// Returns until when entries may be missing that come back after the store's return.
+    pub(crate) fn settles_at(&self) -> Millis {
+        match self.returned_at {
+            Millis::ZERO => Millis::ZERO,
+            returned_at => returned_at + RETURN_TIME,
+        }
     }
 
     /// Reads once: everything at first, then what has changed. Returns the servers.
@@ -148,7 +159,7 @@
 
     fn current(&mut self, now: Millis) -> ServerList {
         self.vanished.retain(|_, (since, _)| now.since(*since) < KEEP_VANISHED);
-        let returning = now < self.returned_at + RETURN_TIME && self.returned_at > Millis::ZERO;
+        let returning = now < self.settles_at();
         let vanished = self.vanished.values().map(|(since, server)| {
             let state = match server.state {
                 ServerState::Ready if returning && *since >= self.returned_at => ServerState::Ready,
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -5,7 +5,7 @@
         control::{
             Control, StoreClient,
             election::{MEMBERS_PREFIX, TABLE_KEY},
-            handlers::{AskReading, Reading, Reply},
+            handlers::{AskReading, AskServers, Reading, Reply},
             message::{Input, Member},
             occupancy::exchange,
             peers::ask_knowledge,
@@ -135,20 +135,23 @@
             let needed = self.reading().await.is_some_and(|reading| reading.servers);
             if !needed {
                 if !idle {
-                    reader.restart();
                     self.tell(Input::ServersUnread).await;
                     idle = true;
                 }
                 sleep(IDLE_PAUSE).await;
                 continue;
             }
+            let platform = self.cx.platform.as_ref();
+            if idle && let Ok(Reply(known)) = self.control.ask(AskServers).await {
+                reader.restart(platform, &known);
+            }
             idle = false;
             let began = self.cx.clock.now();
             let clock = self.cx.clock;
-            let platform = self.cx.platform.as_ref();
             match reader.read(&self.store, platform, || clock.now()).await {
                 Ok(list) => {
-                    self.tell(Input::Servers { began, list }).await;
+                    let settles_at = reader.settles_at();
+                    self.tell(Input::Servers { began, list, settles_at }).await;
                     sleep(SERVERS_PAUSE).await;
                 }
                 Err(_) => {
--- a/tests/users_platform.rs
+++ b/tests/users_platform.rs
@@ -198,6 +198,31 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_lapsed_with_the_store_keep_their_keys() -> eyre::Result<()> {
+    let deployment = deployment(3, 3, 1).await?;
+    let load = Load::start(callers(&deployment), "lapsed")?;
+    sleep(SECOND).await;
+    deployment.store.set_faults(StoreFaults { silent: true, ..StoreFaults::default() });
+    sleep(SECOND * 6).await;
+    for server in &deployment.servers {
+        deployment.unregister(server);
+    }
+    deployment.store.set_faults(StoreFaults::default());
+    sleep(SECOND * 3 / 2).await;
+    for (index, server) in deployment.servers.iter().enumerate() {
+        deployment.register(server, if index < 3 { "keyed" } else { "plain" }, "ready");
+    }
+    sleep(SECOND * 6).await;
+    let replies = load.finish().await;
+    check_promises(&deployment, &replies);
+    expect_that!(served(&replies), ge(0.99));
+    expect_that!(longest_gap(&replies), lt(SERVED_AGAIN));
+    deployment.clean_up();
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn another_daemon_takes_over_when_the_store_refuses_the_assigner() -> eyre::Result<()> {
