--- a/tests/users_platform.rs
+++ b/tests/users_platform.rs
@@ -7,7 +7,7 @@
     },
     reqwest::Method,
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         path::Path,
         sync::{Arc, Mutex},
@@ -106,6 +106,13 @@
     deployment.daemons.iter().map(|daemon| daemon.callers).collect()
 }
 
+/// Returns where all daemons but one listen.
+fn callers_without(deployment: &Deployment, left_out: usize) -> Vec<SocketAddr> {
+    let mut callers = callers(deployment);
+    callers.remove(left_out);
+    callers
+}
+
 fn assigner(deployment: &Deployment) -> usize {
     deployment.daemons.iter().position(Daemon::is_assigner).expect("there is an assigner")
 }
@@ -135,9 +142,7 @@
 async fn keys_go_on_being_served_when_the_assigner_is_killed() -> eyre::Result<()> {
     let mut deployment = deployment(3, 3, 1).await?;
     let lost = assigner(&deployment);
-    let mut daemons = callers(&deployment);
-    daemons.remove(lost);
-    let load = Load::start(daemons, "assigner")?;
+    let load = Load::start(callers_without(&deployment, lost), "assigner")?;
     sleep(SECOND).await;
     deployment.daemons[lost].kill();
     sleep(SECOND * 7).await;
@@ -249,9 +254,7 @@
 async fn a_frozen_assigner_orders_nothing_when_it_thaws() -> eyre::Result<()> {
     let deployment = deployment(3, 3, 1).await?;
     let frozen = assigner(&deployment);
-    let mut daemons = callers(&deployment);
-    daemons.remove(frozen);
-    let load = Load::start(daemons, "frozen")?;
+    let load = Load::start(callers_without(&deployment, frozen), "frozen")?;
     sleep(SECOND).await;
     deployment.daemons[frozen].freeze(true);
     sleep(SECOND * 5).await;
@@ -309,6 +312,33 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_a_silent_server_are_served_again_in_time() -> eyre::Result<()> {
+    let deployment = deployment(3, 3, 1).await?;
+    let load = Load::start(callers(&deployment), "silent-server")?;
+    sleep(SECOND).await;
+    let lost = deployment.servers[0].clone();
+    let keys: HashSet<u16> = (0..=u16::MAX).filter(|key| lost.holds(*key)).collect();
+    lost.kill();
+    let killed = Instant::now();
+    sleep(SECOND * 6).await;
+    let replies = load.finish().await;
+    check_promises(&deployment, &replies);
+    let mut first: BTreeMap<u16, Duration> = BTreeMap::new();
+    for ran in deployment.ran().into_iter().filter(|ran| ran.began > killed) {
+        if let Some(key) = ran.key.filter(|key| keys.contains(key)) {
+            // A sixteenth of the keys at a time, so that each part is asked for often enough.
+            first.entry(key >> 12).or_insert(ran.began - killed);
+        }
+    }
+    let last = first.values().max().copied();
+    println!("all parts are served again after {last:?}");
+    expect_that!(last, some(le(SERVED_AGAIN)));
+    deployment.clean_up();
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn grants_that_are_carried_out_late_make_no_second_owner() -> eyre::Result<()> {
@@ -340,9 +370,7 @@
     }
     let stopping = assigner(&deployment);
     let load = Load::start(vec![deployment.daemons[stopping].callers], "stopped")?;
-    let others = callers(&deployment).into_iter().enumerate();
-    let others = others.filter(|(index, _)| *index != stopping).map(|(_, callers)| callers);
-    let rest = Load::start(others.collect(), "rest")?;
+    let rest = Load::start(callers_without(&deployment, stopping), "rest")?;
     sleep(SECOND).await;
     let asked = Instant::now();
     let stop = deployment.daemons[stopping].stop();
@@ -435,9 +463,7 @@
 async fn takeovers_succeed_though_answers_of_the_store_are_lost() -> eyre::Result<()> {
     let mut deployment = deployment(3, 3, 1).await?;
     let lost = assigner(&deployment);
-    let mut daemons = callers(&deployment);
-    daemons.remove(lost);
-    let load = Load::start(daemons, "answers")?;
+    let load = Load::start(callers_without(&deployment, lost), "answers")?;
     deployment.store.set_faults(StoreFaults { lost_answers: 0.4, ..StoreFaults::default() });
     deployment.daemons[lost].kill();
     sleep(SECOND * 9).await;
