Leave a term alone that another daemon has just won, and order the events by number

Ruled out: the stopping daemon, which had handed over. Change: an attempt to take over names the last term that the daemon knew or found, and a higher one in the store is left to its holder once.

--- a/crates/oriolehoist_daemon/src/control/actor.rs
+++ b/crates/oriolehoist_daemon/src/control/actor.rs
@@ -149,8 +149,10 @@
         if hearing.hear > hearing.miss {
             return;
         }
-        let attempt =
-            Attempt::TakeOver { peers: self.peers.witnesses(now), servers: self.servers_of(name) };
+        let heard = cell.follower.record().map(|record| record.term);
+        let missed = heard.max(cell.found);
+        let (peers, servers) = (self.peers.witnesses(now), self.servers_of(name));
+        let attempt = Attempt::TakeOver { missed, peers, servers };
         self.start_attempt(name, attempt, me);
     }
 
--- a/crates/oriolehoist_daemon/src/control/assigning.rs
+++ b/crates/oriolehoist_daemon/src/control/assigning.rs
@@ -186,6 +186,7 @@
         let mine = found.as_ref().is_some_and(|found| found.holder == self.cx.me);
         let Some(cell) = self.cells.get_mut(&name) else { return };
         cell.attempting = false;
+        cell.found = cell.found.max(found.as_ref().map(|found| found.term));
         match (found, cell.assigner.as_mut()) {
             (Some(found), Some(assigner)) if mine && found != *assigner.record() => {
                 let term = found.term;
--- a/crates/oriolehoist_daemon/src/control/cell.rs
+++ b/crates/oriolehoist_daemon/src/control/cell.rs
@@ -20,6 +20,8 @@
     pub(crate) assigner: Option<Assigner>,
     /// Whether an attempt to write the record is under way.
     pub(crate) attempting: bool,
+    /// The highest term that an attempt found in the store.
+    pub(crate) found: Option<Term>,
     /// When the last attempt to replace this daemon's own record began.
     pub(crate) replaced: Millis,
     pub(crate) store: AssignmentStore,
@@ -70,6 +72,7 @@
             budget,
             assigner: None,
             attempting: false,
+            found: None,
             replaced: now,
             store: AssignmentStore::default(),
             heartbeats: Heartbeats::default(),
--- a/crates/oriolehoist_daemon/src/control/election.rs
+++ b/crates/oriolehoist_daemon/src/control/election.rs
@@ -13,8 +13,8 @@
     oriolehoist_ownership::{PeerView, initial_record, successor_record},
     oriolehoist_platform::{Revision, StoreError, Swap},
     oriolehoist_protocol::{
-        Assignment, HolderAnswer, HolderQuestion, ServerAddress, ServiceName, TermRecord, Witness,
-        majority,
+        Assignment, HolderAnswer, HolderQuestion, ServerAddress, ServiceName, Term, TermRecord,
+        Witness, majority,
     },
     oriolehoist_time::Millis,
     serde::de::DeserializeOwned,
@@ -25,8 +25,8 @@
 /// What an attempt wants to write.
 #[derive(Clone, Debug)]
 pub(super) enum Attempt {
-    /// The next term, whoever holds the present one.
-    TakeOver { peers: Vec<PeerView>, servers: Vec<ServerAddress> },
+    /// The next term, unless another daemon has won one since `missed`, the last that was known.
+    TakeOver { missed: Option<Term>, peers: Vec<PeerView>, servers: Vec<ServerAddress> },
     /// The next term of the same holder, with other witnesses or servers.
     Replace { from: TermRecord, peers: Vec<PeerView>, servers: Vec<ServerAddress> },
     /// The same term with nothing unsettled.
@@ -78,7 +78,7 @@
     let key = record_key(service);
     let present = read::<TermRecord>(cx, &key).await?;
     let (record, expected) = match (&present, attempt) {
-        (None, Attempt::TakeOver { peers, servers }) => {
+        (None, Attempt::TakeOver { peers, servers, .. }) => {
             let record = initial_record(service.clone(), cx.me.clone(), peers, servers.clone());
             (record, Revision::ABSENT)
         }
@@ -86,10 +86,16 @@
         (Some((held, _)), Attempt::TakeOver { .. }) if held.holder == cx.me => {
             return Ok(Some(held.clone()));
         }
+        // Whoever has just won has said nothing yet. To replace it would cost a second settling.
+        (Some((held, _)), Attempt::TakeOver { missed: Some(missed), .. })
+            if held.term > *missed =>
+        {
+            return Ok(Some(held.clone()));
+        }
         (Some((held, _)), Attempt::TakeOver { .. }) if !is_wanted(cx, held).await => {
             return Ok(None);
         }
-        (Some((held, revision)), Attempt::TakeOver { peers, servers }) => {
+        (Some((held, revision)), Attempt::TakeOver { peers, servers, .. }) => {
             (successor_record(held, cx.me.clone(), peers, servers.clone()), *revision)
         }
         (Some((held, revision)), Attempt::Replace { from, peers, servers }) if held == from => {
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -35,6 +35,12 @@
     Stopped = 1003, Info;
     /// A receipt key could not be read.
     KeyUnreadable = 1004, Error;
+    /// The daemon became ready, or ceased to be.
+    Readiness = 1005, Info;
+    /// The start settings changed.
+    SettingsFileChanged = 1006, Info;
+    /// A listener could not be opened, or ended.
+    ListenerLost = 1007, Error;
     /// A version of the settings came into force.
     SettingsInForce = 2001, Info;
     /// A version of the settings could not be understood and was left aside.
@@ -43,6 +49,12 @@
     StoreAway = 2003, Warn;
     /// The platform's store answers again.
     StoreBack = 2004, Info;
+    /// A call to the store failed.
+    StoreCallFailed = 2005, Info;
+    /// The list of backend servers changed.
+    ServersChanged = 2006, Info;
+    /// A server's registration could not be understood; it names no server.
+    ServerMalformed = 2007, Warn;
     /// This daemon won the term of a service.
     TermWon = 3001, Info;
     /// Another daemon has a higher term; this one assigns no more.
@@ -57,32 +69,20 @@
     VouchersBack = 3006, Info;
     /// The witnesses or the servers of a term's record were replaced.
     RecordReplaced = 3007, Info;
-    /// The daemon became ready, or ceased to be.
-    Readiness = 1005, Info;
-    /// A listener could not be opened, or ended.
-    ListenerLost = 1007, Error;
-    /// The start settings changed.
-    SettingsFileChanged = 1006, Info;
     /// The assigner was not heard for a while, or is heard again.
     AssignerHeard = 3008, Info;
     /// A change of who owns which keys was planned and is to be stored.
     OwnershipPlanned = 3009, Info;
     /// An order to a server was not carried out as asked.
     OrderFailed = 3010, Info;
-    /// A call to the store failed.
-    StoreCallFailed = 2005, Info;
-    /// The list of backend servers changed.
-    ServersChanged = 2006, Info;
-    /// A server's registration could not be understood; it names no server.
-    ServerMalformed = 2007, Warn;
-    /// A request was answered late, or after more than one offer to a server.
-    Served = 4004, Info;
     /// A request was refused.
     Refused = 4001, Info;
     /// A server crashed while requests were in flight.
     ServerCrashed = 4002, Warn;
     /// Connections to a server went silent and were given up.
     ConnectionsRetired = 4003, Warn;
+    /// A request was answered late, or after more than one offer to a server.
+    Served = 4004, Info;
     /// A peer sent something that could not be understood.
     PeerMalformed = 5001, Warn;
 }
