Let the stand-in server remember a booking in the step that makes it take effect

The caller's repeat began while the first run, whose daemon had been killed, was still at work; both took effect. Ruled out: the daemons, which sent each attempt once. Change: the id is looked up and remembered together with the effect, as docs/INTERFACES.md says of servers. No directed test yet: the race was not provoked on purpose.

--- a/crates/oriolehoist_testkit/src/standin/backend.rs
+++ b/crates/oriolehoist_testkit/src/standin/backend.rs
@@ -397,7 +397,6 @@
     if !work.may_take_effect() {
         return refuse(&state, &exchange, "grant");
     }
-    open.take_effect();
     let answer = RunAnswer {
         body: format!(
             "{{\"request_id\":\"{request_id}\",\"key\":\"{}\",\"server\":\"{}\",\"bytes\":{}}}",
@@ -406,12 +405,20 @@
             body.len(),
         ),
     };
-    if !request_id.is_empty() {
+    // Taking effect and remembering it are one step: a repeat may have run at the same time.
+    let first = {
         let mut answers = state.answers.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        answers.insert(request_id, answer.clone());
-    }
+        let known = answers.get(&request_id).cloned();
+        if known.is_none() {
+            open.take_effect();
+            if !request_id.is_empty() {
+                answers.insert(request_id, answer.clone());
+            }
+        }
+        known
+    };
     drop((slot, work));
-    respond(&state, StatusCode::OK, &exchange, answer.body)
+    respond(&state, StatusCode::OK, &exchange, first.unwrap_or(answer).body)
 }
 
 /// A header with which tests ask for a run of another length, in milliseconds.
