Share the retries by the number of daemons that is known now

Cause, found on reading the change: a daemon's share of the slack was worked out with its first request and kept. A daemon that starts serves from the stored table before it knows the others, took itself for the only one, and kept the whole slack: ten daemons that restart together could send 390 requests again where 60 and a fifth of the traffic are allowed. Change: the share follows the number of daemons; until that is known one retry may be saved up. This changes behaviour, towards the bound. Test a_smaller_share_of_the_retries_is_in_force_at_once.

--- a/crates/oriolehoist_admission/src/retry.rs
+++ b/crates/oriolehoist_admission/src/retry.rs
@@ -24,6 +24,12 @@
         RetryBudget { hundredths: retries * COST, most: retries * COST }
     }
 
+    /// Changes the greatest saving; what was saved beyond it is lost.
+    pub fn set_savings(&mut self, retries: u64) {
+        self.most = retries * COST;
+        self.hundredths = self.hundredths.min(self.most);
+    }
+
     /// Notes a first attempt, which earns `percent` hundredths of a retry.
     pub fn on_first_attempt(&mut self, percent: u64) {
         self.hundredths = (self.hundredths + percent).min(self.most);
--- a/crates/oriolehoist_admission/tests/admission.rs
+++ b/crates/oriolehoist_admission/tests/admission.rs
@@ -169,3 +169,18 @@
     expect_that!(gate.running(), eq(0));
     expect_that!(gate.next(Millis(100)), some(eq(Turn::Send(patient))));
 }
+
+#[gtest]
+fn a_smaller_share_of_the_retries_is_in_force_at_once() {
+    let mut budget = RetryBudget::with_savings(40);
+    budget.set_savings(4);
+    let spent = (0..40).take_while(|_| budget.try_spend()).count();
+    expect_that!(spent, eq(4));
+    budget.set_savings(10);
+    expect_that!(budget.try_spend(), eq(false));
+    for _ in 0..200 {
+        budget.on_first_attempt(10);
+    }
+    let spent = (0..40).take_while(|_| budget.try_spend()).count();
+    expect_that!(spent, eq(10));
+}
--- a/crates/oriolehoist_edge/src/control/knowledge.rs
+++ b/crates/oriolehoist_edge/src/control/knowledge.rs
@@ -109,12 +109,13 @@
     pub(crate) fn publish(&mut self, cx: &Shared) {
         let Some(config) = &self.config else { return };
         let backends = self.backends.update(cx.source(), cx.clock, &self.servers.servers);
-        let daemons = self.members.len().max(1);
+        let daemons = self.members.len();
         let mut services: HashMap<SmolStr, Vec<_>> = HashMap::new();
         for entry in &self.servers.servers {
             let Some(backend) = backends.get(&entry.id) else { continue };
             if let Some(spec) = config.services.get(&entry.service) {
-                let share = f64::from(spec.max_connections) * CONNECTION_SHARE / daemons as f64;
+                let share =
+                    f64::from(spec.max_connections) * CONNECTION_SHARE / daemons.max(1) as f64;
                 backend.set_share(share as u32);
             }
             if entry.state == ServerState::Ready {
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -36,6 +36,8 @@
 const PEER_CONNECT_WAIT: Millis = Millis(250);
 /// How long an idle connection to a peer is used again.
 const PEER_IDLE_TIMEOUT: Millis = Millis(3000);
+/// The retries that a daemon may always save up, so that a lost answer can be made good.
+const LEAST_SAVINGS: u64 = 1;
 /// Time between reports of how fast the servers are.
 const WORK_REPORT_INTERVAL: Millis = Millis(400);
 /// What every thread of a daemon shares.
@@ -134,13 +136,19 @@
     }
 
     fn with_retries<T>(&self, service: &SmolStr, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut retries = lock(&self.retries);
-        let new = || {
-            let daemons = self.view.load().map_or(1, |view| view.daemons.max(1)) as f64;
-            let savings = f64::from(self.boot.bounds.retry_slack) * RETRY_MARGIN / daemons;
-            RetryBudget::with_savings((savings as u64).max(1))
+        let savings = match self.view.load().map_or(0, |view| view.daemons) {
+            // Until it is known with how many it is shared, little of it is used.
+            0 => LEAST_SAVINGS,
+            daemons => {
+                let slack = f64::from(self.boot.bounds.retry_slack) * RETRY_MARGIN;
+                ((slack / daemons as f64) as u64).max(LEAST_SAVINGS)
+            }
         };
-        f(retries.entry(service.clone()).or_insert_with(new))
+        let mut retries = lock(&self.retries);
+        let new = || RetryBudget::with_savings(savings);
+        let budget = retries.entry(service.clone()).or_insert_with(new);
+        budget.set_savings(savings);
+        f(budget)
     }
 
     /// Counts a request for a key.
--- a/crates/oriolehoist_edge/src/version/view.rs
+++ b/crates/oriolehoist_edge/src/version/view.rs
@@ -20,7 +20,7 @@
     pub(crate) services: HashMap<SmolStr, Vec<Arc<Backend>>>,
     /// Who holds which keys, for services that are split by key.
     pub(crate) keys: BTreeMap<SmolStr, KeyRoutes>,
-    /// How many daemons share the servers.
+    /// How many daemons share the servers; zero before it is known.
     pub(crate) daemons: usize,
     /// Where the other daemons are.
     pub(crate) peers: Vec<SocketAddr>,
