Take a new fence for the same server for no change of owner

A former with the same life as the owner is now left out when a table is adopted: whoever of the two fences is in force, it is one server.

--- a/crates/oriolehoist_keyspace/src/keeper.rs
+++ b/crates/oriolehoist_keyspace/src/keeper.rs
@@ -46,9 +46,9 @@
         let held_until = hold_end(now, longest_hold);
         for assigned in assigned {
             let owner = self.learn(now, &assigned.owner, held_until);
-            let endings: Vec<Ending> = assigned
-                .formers
-                .iter()
+            // A new fence for the same life of a server is no change of owner.
+            let others = assigned.formers.iter().filter(|(life, _)| *life != assigned.owner);
+            let endings: Vec<Ending> = others
                 .map(|(life, fence)| {
                     let server = self.learn(now, life, held_until);
                     Ending::new(Former { server, fence: *fence, adopted: true })
--- a/crates/oriolehoist_keyspace/tests/directed.rs
+++ b/crates/oriolehoist_keyspace/tests/directed.rs
@@ -340,3 +340,40 @@
         expect_that!(left, le(1), "lost {after} ms later");
     }
 }
+
+#[gtest]
+fn an_assigner_that_ends_while_owners_get_new_fences_costs_no_keys() {
+    let ready = [server("a", ServerState::Ready), server("b", ServerState::Ready)];
+    let mut first = Assigner::new(&ready);
+    first.run(Millis(3000));
+    let before = first.keeper.routes(first.now);
+    let mut second = Keeper::new();
+    second.adopt(first.now, &first.keeper.assigned(), Millis(10_000));
+    second.on_servers(first.now, ready.iter());
+    expect_that!(second.plan(first.now, 1, &mut first.fences), eq(true));
+    // Its plan is stored, and it ends before it gives an order.
+    let mut third = Keeper::new();
+    third.adopt(first.now, &second.assigned(), Millis(10_000));
+    third.on_servers(first.now, ready.iter());
+    expect_that!(third.routes(first.now), eq(&before));
+    let orders = third.orders(first.now, HOLD);
+    expect_that!(orders.iter().all(is_grant), eq(true));
+    expect_that!(orders.len(), eq(2));
+}
+
+#[gtest]
+fn a_server_that_leaves_during_a_takeover_hands_over_without_delay() {
+    let ready = [server("a", ServerState::Ready), server("b", ServerState::Ready)];
+    let leaving = [server("a", ServerState::Draining), server("b", ServerState::Ready)];
+    let mut first = Assigner::new(&ready);
+    first.run(Millis(3000));
+    let mut keeper = Keeper::new();
+    keeper.adopt(first.now, &first.keeper.assigned(), Millis(10_000));
+    keeper.on_servers(first.now, leaving.iter());
+    let mut second = Assigner { keeper, ..first };
+    second.run(Millis(500));
+    let routes = second.keeper.routes(second.now);
+    for routed in &routes.0 {
+        expect_that!(routed.holder, eq(&Holder::Server(life("b"))));
+    }
+}
