Give owners that leave during a takeover new fences first

Cause: only owners that stay got new fences at a takeover. A server that was draining then was released, but grants of the earlier assigner might still be carried out late, so its keys had no owner for the longest hold, 10.3 s. Now it takes a new fence first, while it is still serving, and then hands over.

--- a/crates/oriolehoist_keyspace/src/orders.rs
+++ b/crates/oriolehoist_keyspace/src/orders.rs
@@ -148,8 +148,7 @@
     fn renewals(&mut self, now: Millis, key: ServerKey, hold: Millis) -> Vec<OrderToSend> {
         let server = self.server(key);
         let due = now >= server.next_renewal && server.grants_in_flight == 0;
-        let gone = server.standing == Standing::Ended || server.replaced;
-        if !due || gone || server.is_silent(now) {
+        if !due || !server.takes_orders(now) {
             return Vec::new();
         }
         let runs = self.renewed_runs(key);
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -34,7 +34,7 @@
 const USUAL_WORK: f32 = 100.0;
 
 impl Keeper {
-    /// Lets usable owners that an earlier assigner left go on under a new fence.
+    /// Lets owners that an earlier assigner left go on under a new fence, also those that leave.
     ///
     /// Answers losses and leaving servers right after a takeover: grants that the earlier assigner
     /// sent may be carried out late, and would otherwise have to lapse before a range can move.
@@ -47,8 +47,8 @@
         let mut fence = None;
         for index in 0..self.slices.len() {
             let slice = &self.slices[index];
-            let adopted = slice.adopted && slice.step == Step::Held;
-            if adopted && self.server(slice.owner).is_usable(now) {
+            let alone = slice.adopted && slice.step == Step::Held;
+            if alone && self.server(slice.owner).takes_orders(now) {
                 let fence = *fence.get_or_insert_with(|| fences.issue());
                 self.slices[index].refence(version, fence);
             }
@@ -83,6 +83,8 @@
             let replaceable = match owner.standing {
                 // The same server in its new life gets the keys back.
                 Standing::Ended => true,
+                // It moves once its owner has taken the new fence.
+                Standing::Leaving if slice.is_refenced() && owner.takes_orders(now) => false,
                 _ => !owner.is_usable(now),
             };
             if !replaceable {
--- a/crates/oriolehoist_keyspace/src/server.rs
+++ b/crates/oriolehoist_keyspace/src/server.rs
@@ -143,6 +143,12 @@
         self.standing == Standing::Ready && !self.replaced && !self.is_silent(now)
     }
 
+    /// Returns whether orders can be sent to it and may well be carried out.
+    pub(crate) fn takes_orders(&self, now: Millis) -> bool {
+        let ended = self.standing == Standing::Ended || self.replaced;
+        self.address.is_some() && !ended && !self.is_silent(now)
+    }
+
     /// Returns whether orders to it have been without an answer for long.
     pub(crate) fn is_silent(&self, now: Millis) -> bool {
         self.failures >= LOST_FAILURES && now.since(self.last_answer) >= LOST_AFTER
--- a/crates/oriolehoist_keyspace/src/slice.rs
+++ b/crates/oriolehoist_keyspace/src/slice.rs
@@ -104,6 +104,11 @@
         self.step = Step::Planned { formers: vec![former], renewed: Some(former) };
     }
 
+    /// Returns whether an owner that an earlier assigner left is getting a new fence, or is to.
+    pub(crate) fn is_refenced(&self) -> bool {
+        self.adopted && (self.refencing || self.step == Step::Held)
+    }
+
     /// Gives the range a new owner.
     pub(crate) fn reassign(&mut self, to: ServerKey, version: u64, fence: u64) {
         let renewed = self.renewed();
