Refuse requests that crash servers at all daemons

Cause: a request that ends each server which runs it came again at any daemon and was sent on; nothing remembered it on the platform. Now a request on a connection that broke is a suspect if the server then refuses connections. All daemons are told. A suspect goes to a server only while no other one is there, an answer clears it, and after three crashes (the platform's bound; two servers may crash for another reason) it is refused with 503 for 60 s. Nothing is hashed while nothing is suspected. Ruled out: probes of the health page (priced; they wait for a slot), and two crashes as for the own interface.

--- a/crates/oriolehoist_admission/src/suspects.rs
+++ b/crates/oriolehoist_admission/src/suspects.rs
@@ -22,11 +22,12 @@
 /// Remembers which requests were at servers that crashed.
 ///
 /// Whatever was in flight at a crash is a suspect. A suspect that is answered is cleared; one
-/// that is there at a second crash is quarantined for a while. Copies of a request that were in
+/// that is there at several crashes is quarantined for a while. Copies of a request that were in
 /// flight at the same crash count once.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Suspects {
     cases: HashMap<Fingerprint, Case>,
+    crashes_to_quarantine: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -37,17 +38,28 @@
 
 /// How long a suspicion or a quarantine lasts.
 const CASE_LENGTH: Millis = Millis::from_secs(60);
-/// How many crashes put a request into quarantine.
+/// How many crashes usually put a request into quarantine.
 const CRASHES_TO_QUARANTINE: usize = 2;
 /// The greatest number of suspects that are remembered.
 const MAX_CASES: usize = 4096;
 
+impl Default for Suspects {
+    fn default() -> Suspects {
+        Suspects::with_crashes(CRASHES_TO_QUARANTINE)
+    }
+}
+
 impl Suspects {
+    /// Creates a memory that puts a request into quarantine after this many crashes.
+    pub fn with_crashes(crashes: usize) -> Suspects {
+        Suspects { cases: HashMap::new(), crashes_to_quarantine: crashes }
+    }
+
     /// Judges a request.
     pub fn judge(&self, now: Millis, fingerprint: Fingerprint) -> Judgement {
         match self.cases.get(&fingerprint) {
             Some(case) if now >= case.until => Judgement::Clear,
-            Some(case) if case.is_convicted() => Judgement::Quarantined(case.until.since(now)),
+            Some(case) if self.is_convicted(case) => Judgement::Quarantined(case.until.since(now)),
             Some(_) => Judgement::Alone,
             None => Judgement::Clear,
         }
@@ -62,7 +74,7 @@
         }
         let case =
             self.cases.entry(fingerprint).or_insert(Case { crashes: Vec::new(), until: now });
-        if !case.crashes.contains(&crash) && !case.is_convicted() {
+        if !case.crashes.contains(&crash) && case.crashes.len() < self.crashes_to_quarantine {
             case.crashes.push(crash);
             case.until = now + CASE_LENGTH;
         }
@@ -72,7 +84,7 @@
     ///
     /// A request in quarantine stays there; it can only have been sent before.
     pub fn on_answered(&mut self, fingerprint: Fingerprint) {
-        if self.cases.get(&fingerprint).is_some_and(|case| !case.is_convicted()) {
+        if self.cases.get(&fingerprint).is_some_and(|case| !self.is_convicted(case)) {
             self.cases.remove(&fingerprint);
         }
     }
@@ -81,10 +93,8 @@
     pub fn is_empty(&self) -> bool {
         self.cases.is_empty()
     }
-}
 
-impl Case {
-    fn is_convicted(&self) -> bool {
-        self.crashes.len() >= CRASHES_TO_QUARANTINE
+    fn is_convicted(&self, case: &Case) -> bool {
+        case.crashes.len() >= self.crashes_to_quarantine
     }
 }
--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -53,6 +53,8 @@
     share: AtomicU32,
     /// When it was first known to leave; zero while it stays.
     leaving_since: AtomicU64,
+    /// Held while a request is there that is suspected of crashing servers.
+    pub(crate) suspect_turn: tokio::sync::Mutex<()>,
 }
 
 impl Backend {
@@ -74,6 +76,7 @@
             gauge: Mutex::new(Gauge::new(entry.slots, work)),
             share: AtomicU32::new(entry.slots),
             leaving_since: AtomicU64::new(0),
+            suspect_turn: tokio::sync::Mutex::default(),
         }
     }
 
@@ -146,6 +149,12 @@
         }
     }
 
+    /// Returns whether nothing listens at the server's address.
+    pub(crate) async fn refuses_connections(&self) -> bool {
+        let opened = Link::open(self.source, self.address, CONNECT_WAIT).await;
+        matches!(opened, Err(CallError::Connect(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     fn keep(&self, link: Link, idle_seconds: Option<u64>) {
         let timeout = match idle_seconds {
             Some(seconds) => Millis::from_secs(seconds).since(IDLE_MARGIN),
--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -28,7 +28,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::{sync::broadcast::error::RecvError, time::timeout},
 };
 
 /// The largest message between daemons, in bytes.
@@ -38,11 +38,13 @@
 
 /// The routes at the peers' address.
 pub(crate) fn control_router(cx: Arc<Shared>, control: ActorRef<Control>) -> Router {
+    let shared = Router::new().route("/suspect", post(suspect)).with_state(Arc::clone(&cx));
     Router::new()
         .route("/sync", post(sync))
         .route("/knowledge", post(knowledge))
         .layer(DefaultBodyLimit::max(MAX_MESSAGE_BYTES))
         .with_state(control)
+        .merge(shared)
         .merge(metrics_router(cx))
 }
 
@@ -83,6 +85,19 @@
     }
 }
 
+async fn suspect(State(cx): State<Arc<Shared>>, body: Bytes) -> Response {
+    match rmp_serde::from_slice(&body) {
+        Ok(notice) => {
+            cx.note_suspect(notice);
+            answer(Some(Reply(())))
+        }
+        Err(error) => {
+            report(Event::PeerMalformed, format_args!("error=\"{error}\""));
+            StatusCode::BAD_REQUEST.into_response()
+        }
+    }
+}
+
 async fn knowledge(State(control): Cx) -> Response {
     answer(control.ask(AskKnowledge).await.ok())
 }
@@ -101,6 +116,22 @@
     let _ = control.tell(Input::Synced { to, answer }).await;
 }
 
+/// Tells every other daemon of suspects. One that can't be reached learns of the next crash.
+pub(crate) async fn spread_suspects(cx: Arc<Shared>) {
+    let mut notices = cx.suspect_notices.subscribe();
+    loop {
+        let notice = match notices.recv().await {
+            Ok(notice) => notice,
+            // So many crashes at once that some notices were dropped: those that follow count.
+            Err(RecvError::Lagged(_)) => continue,
+            Err(RecvError::Closed) => return,
+        };
+        let Some(view) = cx.view.load() else { continue };
+        let told = view.peers.iter().map(|peer| ask::<()>(&cx, *peer, "/suspect", &notice));
+        futures::future::join_all(told).await;
+    }
+}
+
 /// Asks a daemon for everything that it knows.
 pub(crate) async fn ask_knowledge(cx: &Shared, address: SocketAddr) -> Option<Sync> {
     ask(cx, address, "/knowledge", &()).await
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -8,7 +8,7 @@
             handlers::{AskReading, AskServers, Reading, Reply},
             message::{Input, Member},
             occupancy::exchange,
-            peers::ask_knowledge,
+            peers::{ask_knowledge, spread_suspects},
             servers::ServerReader,
         },
         process::Shared,
@@ -53,6 +53,7 @@
 ) {
     let feed = Feed { cx: Arc::clone(cx), store: Arc::clone(store), control: control.clone() };
     tokio::spawn(exchange(Arc::clone(cx)));
+    tokio::spawn(spread_suspects(Arc::clone(cx)));
     tokio::spawn(feed.clone().tick());
     tokio::spawn(feed.clone().follow_config());
     tokio::spawn(feed.clone().follow_servers());
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -4,7 +4,7 @@
         process::Metrics,
         version::View,
     },
-    oriolehoist_admission::RetryBudget,
+    oriolehoist_admission::{Crash, Fingerprint, RetryBudget, Suspects},
     oriolehoist_keyspace::LoadReport,
     oriolehoist_port::{Boot, CallerLimits, Platform},
     oriolehoist_publish::Published,
@@ -19,6 +19,7 @@
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
     },
+    tokio::sync::broadcast,
 };
 
 /// Identifies one life of a daemon.
@@ -40,6 +41,21 @@
 const LEAST_SAVINGS: u64 = 1;
 /// Time between reports of how fast the servers are.
 const WORK_REPORT_INTERVAL: Millis = Millis(400);
+/// How many servers a request may crash before it is refused: the platform's bound. Fewer would
+/// refuse requests that were at two servers that crashed for another reason.
+const CRASHES_TO_QUARANTINE: usize = 3;
+
+/// How many notices of suspects may wait to be told to the other daemons.
+const MAX_NOTICES: usize = 64;
+
+/// Tells that a request was at a server when it crashed.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct SuspectNotice {
+    pub(crate) fingerprint: u64,
+    /// Stands for the life that ended.
+    pub(crate) crash: u64,
+}
+
 /// What every thread of a daemon shares.
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
@@ -53,6 +69,10 @@
     stopping_since: AtomicU64,
     connections: AtomicUsize,
     retries: Mutex<HashMap<SmolStr, RetryBudget>>,
+    /// Requests that were at servers when these crashed.
+    pub(crate) suspects: Mutex<Suspects>,
+    /// What this daemon has learnt of them and the others have not.
+    pub(crate) suspect_notices: broadcast::Sender<SuspectNotice>,
     key_counts: Mutex<BTreeMap<SmolStr, HashMap<u16, u32>>>,
     work_reported: AtomicU64,
     /// Makes calls to the other daemons.
@@ -80,6 +100,8 @@
             stopping_since: AtomicU64::new(0),
             connections: AtomicUsize::new(0),
             retries: Mutex::default(),
+            suspects: Mutex::new(Suspects::with_crashes(CRASHES_TO_QUARANTINE)),
+            suspect_notices: broadcast::Sender::new(MAX_NOTICES),
             key_counts: Mutex::default(),
             work_reported: AtomicU64::new(0),
         })
@@ -151,6 +173,12 @@
         f(budget)
     }
 
+    /// Notes a crash that this daemon or another one saw.
+    pub(crate) fn note_suspect(&self, notice: SuspectNotice) {
+        let (fingerprint, crash) = (Fingerprint(notice.fingerprint), Crash(notice.crash));
+        lock(&self.suspects).on_crash(self.clock.now(), fingerprint, crash);
+    }
+
     /// Counts a request for a key.
     pub(crate) fn count_key(&self, service: &SmolStr, key: u16) {
         let mut counts = lock(&self.key_counts);
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -6,6 +6,7 @@
             exchange::{Offered, offer},
             refuse::Refusal,
             select::{Choice, select},
+            suspicion,
         },
         version::View,
     },
@@ -99,8 +100,13 @@
         if untried && tried.len() as u32 >= job.route.attempts {
             return Outcome::Refused(Refusal::new(Kind::ServerRefused, "attempts of the route"));
         }
+        let turn = match suspicion::admit(cx, job, &backend) {
+            Ok(turn) => turn,
+            Err(refusal) => return Outcome::Refused(refusal),
+        };
         let mut changes = cx.view.subscribe();
         let offered = offer(cx, job, &backend).await;
+        drop(turn);
         job.last_server = backend.life.id.clone();
         if !matches!(offered, Offered::Unsent) {
             job.offers += 1;
@@ -108,9 +114,15 @@
                 tried.push(backend.life.id.clone());
             }
         }
+        if matches!(offered, Offered::Lost(_)) {
+            suspicion::on_broken(cx, job, &backend);
+        }
         let may_repeat = job.route.repeatable && cx.clock.now() < job.deadline;
         match offered {
-            Offered::Answered(answer) => return Outcome::Answered(answer),
+            Offered::Answered(answer) => {
+                suspicion::clear(cx, job);
+                return Outcome::Answered(answer);
+            }
             Offered::Shed if job.key.is_none() && job.route.attempts > tried.len() as u32 => {}
             Offered::Shed => {
                 let wait = backend.gauge().wait(cx.clock.now()).max(SOON);
--- a/crates/oriolehoist_edge/src/request/mod.rs
+++ b/crates/oriolehoist_edge/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod refuse;
 mod respond;
 mod select;
+mod suspicion;
 
 pub(crate) use {
     refuse::Reply,
--- a/crates/oriolehoist_edge/src/request/refuse.rs
+++ b/crates/oriolehoist_edge/src/request/refuse.rs
@@ -43,11 +43,11 @@
     }
 
     /// Returns the status: on this platform 429 and 503 promise that the request has not run, and
-    /// no 502 or 504 does.
+    /// no other status does; 422 would be taken for the server's own.
     pub(crate) fn status(&self) -> u16 {
         let meaning = self.kind.meaning();
         match (meaning.run_state, meaning.status) {
-            (RunState::NotRun, 502 | 504) => 503,
+            (RunState::NotRun, 422 | 502 | 504) => 503,
             (_, status) => status,
         }
     }
--- /dev/null
+++ b/crates/oriolehoist_edge/src/request/suspicion.rs
@@ -0,0 +1,106 @@
+//! Requests that crash the server that runs them.
+//!
+//! Answers a request that comes again and again and ends each server that runs it: without a
+//! memory that all daemons share, retries take it through the whole service.
+
+use {
+    crate::{
+        connection::Backend,
+        process::{Shared, SuspectNotice, lock},
+        request::{forward::Job, refuse::Refusal},
+    },
+    oriolehoist_admission::{Fingerprint, Judgement},
+    oriolehoist_log::{Event, report},
+    oriolehoist_refusal::Kind,
+    oriolehoist_time::Millis,
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{sync::MutexGuard, time::sleep},
+};
+
+/// How often a server that broke a connection is asked for a new one: a crashed one refuses it.
+const PROBES: u32 = 3;
+/// Time between the attempts.
+const PROBE_PAUSE: Duration = Duration::from_millis(20);
+/// When a suspect may be sent that has to wait for another one.
+const SUSPECT_PAUSE: Millis = Millis(150);
+
+/// Lets a request go to a server, a suspect only while no other suspect is there.
+///
+/// # Errors
+///
+/// Returns the refusal of a request in quarantine, or of a suspect that would have to wait.
+pub(super) fn admit<'a>(
+    cx: &Shared,
+    job: &Job,
+    backend: &'a Backend,
+) -> Result<Option<MutexGuard<'a, ()>>, Refusal> {
+    let judgement = {
+        let suspects = lock(&cx.suspects);
+        match suspects.is_empty() {
+            true => return Ok(None),
+            false => suspects.judge(cx.clock.now(), fingerprint(job)),
+        }
+    };
+    match judgement {
+        Judgement::Clear => Ok(None),
+        Judgement::Alone => backend.suspect_turn.try_lock().map(Some).map_err(|_| {
+            Refusal::new(Kind::Overloaded, "another suspect is at the server")
+                .come_back(SUSPECT_PAUSE)
+        }),
+        Judgement::Quarantined(left) => {
+            Err(Refusal::new(Kind::Quarantined, "servers crashed on this request").come_back(left))
+        }
+    }
+}
+
+/// Clears a request that was answered.
+pub(super) fn clear(cx: &Shared, job: &Job) {
+    let mut suspects = lock(&cx.suspects);
+    if !suspects.is_empty() {
+        suspects.on_answered(fingerprint(job));
+    }
+}
+
+/// Finds out whether a server that broke a connection has crashed, and if so suspects the request
+/// here and at every other daemon. The request's own answer does not wait for it.
+pub(super) fn on_broken(cx: &Arc<Shared>, job: &Job, backend: &Arc<Backend>) {
+    let (cx, backend) = (Arc::clone(cx), Arc::clone(backend));
+    let (fingerprint, request) = (fingerprint(job), job.id_text().to_owned());
+    tokio::spawn(async move {
+        if !has_crashed(&backend).await {
+            return;
+        }
+        let server = &backend.life.id;
+        report(Event::ServerCrashed, format_args!("server={server} request={request}"));
+        let notice = SuspectNotice { fingerprint: fingerprint.0, crash: u64::from(backend.number) };
+        cx.note_suspect(notice);
+        // Nobody listens while the process ends.
+        let _ = cx.suspect_notices.send(notice);
+    });
+}
+
+/// A connection that breaks proves nothing, since the network may be at fault, but a server that
+/// then refuses new ones has ended.
+async fn has_crashed(backend: &Backend) -> bool {
+    for attempt in 0..PROBES {
+        if backend.refuses_connections().await {
+            return true;
+        }
+        if attempt + 1 < PROBES {
+            sleep(PROBE_PAUSE).await;
+        }
+    }
+    false
+}
+
+fn fingerprint(job: &Job) -> Fingerprint {
+    // The standard hasher without a random seed gives the same value on every daemon.
+    let mut hasher = DefaultHasher::new();
+    (job.service.as_str(), job.method.as_str(), &job.target, job.key).hash(&mut hasher);
+    job.body.hash(&mut hasher);
+    Fingerprint(hasher.finish())
+}
--- a/crates/oriolehoist_testkit/src/users_platform/server.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/server.rs
@@ -11,7 +11,7 @@
     std::{
         net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
             atomic::{AtomicBool, AtomicU32, Ordering},
         },
         time::{Duration, Instant},
@@ -19,6 +19,9 @@
     tokio::{net::TcpListener, task::AbortHandle, time::sleep},
 };
 
+/// A request whose path ends so crashes the server that runs it.
+pub const CRASHING: &str = "/crashing";
+
 /// What goes wrong at a server.
 #[derive(Clone, Debug, Default)]
 pub struct ServerFaults {
@@ -51,7 +54,6 @@
     /// Where it listens.
     pub address: SocketAddr,
     inner: Arc<Inner>,
-    task: AbortHandle,
 }
 
 struct Inner {
@@ -62,6 +64,8 @@
     running: AtomicU32,
     /// Its open connections stay, and nothing is answered on them.
     dead: AtomicBool,
+    /// Takes connections; set as soon as it runs.
+    listener: OnceLock<AbortHandle>,
     journal: Journal,
     /// What every server of the deployment holds, to see overlaps as they happen.
     overlaps: Overlaps,
@@ -112,6 +116,7 @@
             faults: Mutex::new(ServerFaults { work, ..ServerFaults::default() }),
             running: AtomicU32::new(0),
             dead: AtomicBool::new(false),
+            listener: OnceLock::new(),
             journal,
             overlaps,
         });
@@ -124,7 +129,8 @@
         let task = tokio::spawn(async move {
             let _ = axum::serve(listener, router).await;
         });
-        Ok(Server { id: id.into(), address, inner, task: task.abort_handle() })
+        inner.listener.get_or_init(|| task.abort_handle());
+        Ok(Server { id: id.into(), address, inner })
     }
 
     /// Changes what goes wrong.
@@ -134,10 +140,12 @@
 
     /// Ends it at once; it holds nothing any more.
     pub fn kill(&self) {
-        self.inner.dead.store(true, Ordering::Relaxed);
-        self.task.abort();
-        lock(&self.inner.holds).clear();
-        lock(&self.inner.overlaps).0.retain(|hold| hold.0 != self.id);
+        self.inner.end();
+    }
+
+    /// Returns whether it has ended.
+    pub fn is_dead(&self) -> bool {
+        self.inner.dead.load(Ordering::Relaxed)
     }
 
     /// Returns whether it holds a key.
@@ -151,6 +159,15 @@
 }
 
 impl Inner {
+    fn end(&self) {
+        self.dead.store(true, Ordering::Relaxed);
+        if let Some(listener) = self.listener.get() {
+            listener.abort();
+        }
+        lock(&self.holds).clear();
+        lock(&self.overlaps).0.retain(|hold| hold.0 != self.id);
+    }
+
     async fn wait_if_dead(&self) {
         if self.dead.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
@@ -289,7 +306,11 @@
     if let Ok(load) = format!("{},0,6", inner.running.load(Ordering::Relaxed)).parse() {
         answer.insert("x-server-load", load);
     }
-    if fastrand::f64() < lock(&inner.faults).lost_answers {
+    let crashes = path.ends_with(CRASHING);
+    if crashes {
+        inner.end();
+    }
+    if crashes || fastrand::f64() < lock(&inner.faults).lost_answers {
         let broken = futures::stream::once(async { Err::<&str, _>(std::io::Error::other("lost")) });
         return (StatusCode::OK, answer, Body::from_stream(broken)).into_response();
     }
--- a/tests/users_platform/requests.rs
+++ b/tests/users_platform/requests.rs
@@ -4,6 +4,7 @@
     crate::load::*,
     googletest::prelude::*,
     oriolehoist_testkit::users_platform::*,
+    reqwest::Method,
     std::time::{Duration, Instant},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -60,3 +61,37 @@
     clean_up(deployment);
     Ok(())
 }
+
+/// The users' bound on how long a daemon may not know what the others have learnt.
+const CONTACT: Duration = Duration::from_millis(3000);
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_servers_is_stopped_at_all_daemons() -> eyre::Result<()> {
+    let deployment = deployment(3, 2, 8).await?;
+    let load = Load::start(callers(&deployment), "beside")?;
+    let client = Client::new(HOST, "crash")?;
+    let mut stopped = 0;
+    for turn in 0..60 {
+        let daemon = deployment.daemons[turn % 3].callers;
+        let reply = client.ask(daemon, Method::GET, "/p/crashing", None, DEADLINE).await;
+        stopped += usize::from(reply.status == Some(503) && reply.retry_after.is_some());
+        sleep(Duration::from_millis(50)).await;
+    }
+    let replies = load.finish().await;
+    check_promises(&deployment, &replies);
+    let ran = deployment.ran().into_iter().filter(|ran| ran.request.starts_with("crash"));
+    let mut began: Vec<Instant> = ran.map(|ran| ran.began).collect();
+    began.sort();
+    let third = began.get(2).copied().expect("it crashes servers until it is known");
+    let late = began.iter().filter(|began| **began > third + CONTACT);
+    expect_that!(late.count(), le(3));
+    let dead = deployment.servers.iter().filter(|server| server.is_dead());
+    // The third crash convicts it; one more may have been on its way.
+    expect_that!(dead.count(), le(4));
+    expect_that!(stopped, ge(50));
+    // Requests beside it were at the servers that crashed, and are no suspects for long.
+    expect_that!(served(&replies), ge(0.95));
+    clean_up(deployment);
+    Ok(())
+}
