Watch the configuration closely at three daemons only

Cause: ten daemons at rest made 7 to 8 store calls a second (32 in 4 s): each trusted its watch of the configuration for 5 s and renewed its own entry each 6 s. Now the assigner and two others trust a watch for 5 s, the others for 28 s: the assigner tells them, and if it falls silent the watch is begun anew. Entries have a lease of 60 s, renewed each 12 to 24 s; the assigner leaves those out that have not answered for 20 s, the former lease, and goes on asking them. Ruled out: fewer renewals of the assigner's lease (a takeover would be later), no watch at all (changes would hang on the assigner alone).

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -29,6 +29,12 @@
 const CANDIDACY_PAUSE: Millis = Millis(250);
 /// Time between two messages to a peer.
 const SYNC_INTERVAL: Millis = Millis(200);
+/// How many daemons besides the assigner trust a waiting watch of the configuration for a short
+/// time only. The others hear of changes from the assigner if their own watch has gone silent.
+const CLOSE_CONFIG_WATCHERS: usize = 2;
+/// A daemon that has not answered the assigner for this long is no longer among the members, until
+/// it answers again.
+const UNREACHABLE_AFTER: Millis = Millis::from_secs(20);
 /// How many messages a second the assigner sends to all peers together.
 const SYNCS_PER_SECOND: u64 = 100;
 
@@ -39,6 +45,8 @@
     pub(super) store: Arc<StoreClient>,
     pub(super) me: Member,
     pub(super) known: Knowledge,
+    /// The daemons that are registered; some may not answer.
+    registered: Vec<Member>,
     pub(super) role: Role,
     started: Millis,
     /// When the assigner was last heard.
@@ -69,6 +77,7 @@
             store,
             me,
             known: Knowledge::default(),
+            registered: Vec::new(),
             role: Role::Follower { next_try: now },
             started: now,
             heard_at: Millis::ZERO,
@@ -92,6 +101,7 @@
                 if silent && self.heard {
                     self.heard = false;
                     report(Event::AssignerHeard, format_args!("heard=false term={}", self.term));
+                    self.cx.assigner_silent.notify_one();
                 }
                 if silent && now >= *next_try && !self.cx.is_stopping() {
                     self.role = Role::Candidate;
@@ -117,6 +127,7 @@
                     self.known.offer_routes(stamp, routes);
                     self.known.publish(&self.cx);
                 }
+                self.update_members();
                 self.sync_peers(me, false);
             }
         }
@@ -140,11 +151,11 @@
     pub(super) fn sync_peers(&mut self, me: &ActorRef<Control>, resigning: bool) {
         let now = self.now();
         let Role::Assigner(assigner) = &mut self.role else { return };
-        let peers = self.known.members.len() as u64;
+        let peers = self.registered.len() as u64;
         let interval = SYNC_INTERVAL.max(Millis(peers * 1000 / SYNCS_PER_SECOND));
         let versions = self.known.versions;
-        for member in self.known.members.iter().filter(|member| **member != self.me) {
-            let peer = assigner.peers.entry(member.instance.clone()).or_default();
+        for member in self.registered.iter().filter(|member| **member != self.me) {
+            let peer = assigner.peer(now, member);
             let lacks = peer.versions != versions;
             if peer.in_flight || (now < peer.next && !lacks && !resigning) {
                 continue;
@@ -170,6 +181,35 @@
         }
     }
 
+    /// Takes those registered daemons as members that answer.
+    fn update_members(&mut self) {
+        let now = self.now();
+        let Role::Assigner(assigner) = &mut self.role else { return };
+        let mut members = self.registered.clone();
+        members.retain(|member| {
+            *member == self.me
+                || now.since(assigner.peer(now, member).answered_at) < UNREACHABLE_AFTER
+        });
+        if members != self.known.members {
+            report(
+                Event::MembersChanged,
+                format_args!("members={} registered={}", members.len(), self.registered.len()),
+            );
+            self.known.members = members;
+            self.known.versions.members = self.next_stamp(self.known.versions.members);
+            self.known.publish(&self.cx);
+        }
+    }
+
+    /// Returns whether this daemon is to notice a watch of the configuration that has gone silent
+    /// sooner than most: as the assigner, as one of a few others, or because no assigner is heard.
+    pub(super) fn watches_config_closely(&self) -> bool {
+        let position = self.known.members.iter().position(|member| *member == self.me);
+        matches!(self.role, Role::Assigner(_))
+            || !self.heard
+            || position.is_none_or(|position| position < CLOSE_CONFIG_WATCHERS)
+    }
+
     fn on_candidacy(&mut self, me: &ActorRef<Control>, candidacy: Candidacy) {
         let now = self.now();
         self.role = Role::Follower { next_try: now + CANDIDACY_PAUSE };
@@ -260,19 +300,15 @@
                 }
             }
             Input::Members(members) => {
-                if members != self.known.members {
-                    self.known.members = members;
-                    let stamp = self.known.versions.members;
-                    self.known.versions.members = self.next_stamp(stamp);
-                    self.known.publish(&self.cx);
-                }
+                self.registered = members;
+                self.update_members();
             }
             Input::Candidacy(candidacy) => self.on_candidacy(me, candidacy),
             Input::Synced { to, answer } => {
                 let newer = answer.as_ref().and_then(|answer| answer.config.clone());
                 let higher = answer.as_ref().is_some_and(|answer| answer.term > self.term);
                 if let Role::Assigner(assigner) = &mut self.role {
-                    assigner.on_synced(&to, answer.as_ref());
+                    assigner.on_synced(now, &to, answer.as_ref());
                 }
                 if let Some(bytes) = newer {
                     self.on_input(me, Input::Config(bytes));
--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -10,7 +10,7 @@
             orders::OrderSender,
             store::{StoreClient, StoreError},
         },
-        process::Shared,
+        process::{Incarnation, Shared},
     },
     bytes::Bytes,
     kameo::actor::ActorRef,
@@ -67,11 +67,26 @@
 }
 
 /// What the assigner knows of a peer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PeerState {
+    incarnation: Incarnation,
     pub(crate) versions: Versions,
     pub(crate) in_flight: bool,
     pub(crate) next: Millis,
+    /// When it last answered, or was first known.
+    pub(crate) answered_at: Millis,
+}
+
+impl PeerState {
+    fn new(now: Millis, incarnation: Incarnation) -> PeerState {
+        PeerState {
+            incarnation,
+            versions: Versions::default(),
+            in_flight: false,
+            next: Millis::ZERO,
+            answered_at: now,
+        }
+    }
 }
 
 impl Assigner {
@@ -322,13 +337,24 @@
         }
     }
 
+    /// Returns what is known of a peer; one that has started again holds nothing.
+    pub(crate) fn peer(&mut self, now: Millis, member: &Member) -> &mut PeerState {
+        let new = || PeerState::new(now, member.incarnation);
+        let peer = self.peers.entry(member.instance.clone()).or_insert_with(new);
+        if peer.incarnation != member.incarnation {
+            *peer = new();
+        }
+        peer
+    }
+
     /// Notes a peer's answer, or that there was none.
-    pub(crate) fn on_synced(&mut self, to: &Member, answer: Option<&SyncAnswer>) {
-        let peer = self.peers.entry(to.instance.clone()).or_default();
+    pub(crate) fn on_synced(&mut self, now: Millis, to: &Member, answer: Option<&SyncAnswer>) {
+        let peer = self.peer(now, to);
         peer.in_flight = false;
         match answer {
             Some(answer) => {
                 peer.versions = answer.versions;
+                peer.answered_at = now;
                 self.on_load(&answer.load);
             }
             None => peer.versions = Versions::default(),
--- a/crates/oriolehoist_edge/src/control/handlers.rs
+++ b/crates/oriolehoist_edge/src/control/handlers.rs
@@ -33,6 +33,8 @@
     pub(crate) members: bool,
     /// Whether there is a configuration.
     pub(crate) config: bool,
+    /// Whether the others rely on this daemon to notice changes of the configuration.
+    pub(crate) config_closely: bool,
 }
 
 impl Message<Input> for Control {
@@ -73,6 +75,7 @@
             servers: self.reads_servers(),
             members: matches!(self.role, Role::Assigner(_)),
             config: self.known.config.is_some(),
+            config_closely: self.watches_config_closely(),
         })
     }
 }
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -16,15 +16,17 @@
     kameo::actor::ActorRef,
     oriolehoist_port::{Change, Commit, Item, LeaseId, Revision, StoreAnswer, StoreCall},
     oriolehoist_time::Millis,
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration},
     tokio::time::{MissedTickBehavior, interval, sleep},
 };
 
 /// Time between ticks of the decisions.
 const TICK: Duration = Duration::from_millis(25);
-/// The longest wait of a watch of the configuration: it bounds how long a connection that went
-/// silent is trusted.
+/// The longest wait of a watch of the configuration by the daemons that watch it closely: it bounds
+/// how long a connection that went silent is trusted.
 const CONFIG_WAIT: Millis = Millis(5000);
+/// The same for the others, which the assigner tells.
+const RELAXED_CONFIG_WAIT: Millis = Millis(28_000);
 /// The longest wait of a watch of the members.
 const MEMBERS_WAIT: Millis = Millis(8000);
 /// The pause after a call that failed.
@@ -35,10 +37,11 @@
 const SERVERS_PAUSE: Duration = Duration::from_millis(200);
 /// How often a reader that is not needed looks whether it is.
 const IDLE_PAUSE: Duration = Duration::from_millis(50);
-/// How long a member's entry outlives its daemon.
-const MEMBER_LEASE: Millis = Millis::from_secs(20);
-/// Time between renewals of a member's entry.
-const MEMBER_INTERVAL: Duration = Duration::from_millis(6000);
+/// How long a member's entry outlives its daemon. The assigner notices earlier that it is gone.
+const MEMBER_LEASE: Millis = Millis::from_secs(60);
+/// Time between renewals of a member's entry, in milliseconds; they are spread, since daemons start
+/// together.
+const MEMBER_INTERVAL: Range<u64> = 12_000..24_000;
 /// How often a starting daemon tries to read the stored table.
 const TABLE_ATTEMPTS: u32 = 20;
 /// How long a starting daemon waits for the store before it asks its seeds.
@@ -104,8 +107,18 @@
                 }
                 continue;
             };
-            let call = StoreCall::Watch { prefix: key.into(), after: revision, wait: CONFIG_WAIT };
-            match self.store.call(call).await {
+            let closely = self.reading().await.is_none_or(|reading| reading.config_closely);
+            let wait = if closely { CONFIG_WAIT } else { RELAXED_CONFIG_WAIT };
+            let call = StoreCall::Watch { prefix: key.into(), after: revision, wait };
+            let answer = tokio::select! {
+                answer = self.store.call(call) => answer,
+                // Nobody would tell of a change if this watch has gone silent.
+                () = self.cx.assigner_silent.notified(), if !closely => {
+                    after = None;
+                    continue;
+                }
+            };
+            match answer {
                 Ok(StoreAnswer::Changes { changes, at }) => {
                     for change in changes {
                         if let Change::Written(item) = change {
@@ -220,7 +233,7 @@
                 }
                 continue;
             };
-            sleep(MEMBER_INTERVAL).await;
+            sleep(Duration::from_millis(fastrand::u64(MEMBER_INTERVAL))).await;
             match self.store.call(StoreCall::KeepLease(id)).await {
                 Ok(StoreAnswer::Lease { .. }) => {}
                 Ok(_) => lease = None,
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -19,7 +19,7 @@
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
     },
-    tokio::sync::broadcast,
+    tokio::sync::{Notify, broadcast},
 };
 
 /// Identifies one life of a daemon.
@@ -65,6 +65,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) view: Published<View>,
     pub(crate) ready: AtomicBool,
+    /// The assigner was heard, and is no longer.
+    pub(crate) assigner_silent: Notify,
     stopping: AtomicBool,
     stopping_since: AtomicU64,
     connections: AtomicUsize,
@@ -96,6 +98,7 @@
             metrics: Metrics::new()?,
             view: Published::default(),
             ready: AtomicBool::new(false),
+            assigner_silent: Notify::new(),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
             connections: AtomicUsize::new(0),
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -75,6 +75,8 @@
     OwnershipPlanned = 3009, Info;
     /// An order to a server was not carried out as asked.
     OrderFailed = 3010, Info;
+    /// Daemons were added, or no longer answer the assigner.
+    MembersChanged = 3011, Info;
     /// A request was refused.
     Refused = 4001, Info;
     /// A server crashed while requests were in flight.
--- a/tests/users_platform/store.rs
+++ b/tests/users_platform/store.rs
@@ -23,6 +23,21 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn ten_daemons_at_rest_make_few_calls_to_the_store() -> eyre::Result<()> {
+    let deployment = deployment(10, 3, 2).await?;
+    // The watches that began while no assigner was heard have to end.
+    sleep(SECOND * 6).await;
+    let calls = deployment.store.calls();
+    sleep(SECOND * 8).await;
+    let calls = deployment.store.calls() - calls;
+    // Five a second of all daemons together.
+    expect_that!(calls, le(40));
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_go_on_being_served_while_the_store_is_silent() -> eyre::Result<()> {
