--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -4,11 +4,11 @@
     crate::{
         control::{
             actor::Control,
-            election::{ASSIGNER_KEY, TABLE_KEY},
             knowledge::Knowledge,
             message::{Input, Member, SyncAnswer, TableWrite, Versions, Won},
             orders::OrderSender,
             store::{StoreClient, StoreError},
+            table::write_table,
         },
         process::{Incarnation, Shared},
     },
@@ -16,7 +16,7 @@
     kameo::actor::ActorRef,
     oriolehoist_keyspace::{Fences, Flight, HOLD, Keeper, KeyRoutes, LoadReport, OrderEnd, Table},
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{Commit, LeaseId, Revision, StoreAnswer, StoreCall},
+    oriolehoist_port::{LeaseId, Revision, StoreAnswer, StoreCall},
     oriolehoist_time::Millis,
     smol_str::SmolStr,
     std::{
@@ -375,46 +375,3 @@
         self.won.lease
     }
 }
-
-/// Writes the table under the condition that this daemon is the assigner.
-async fn write_table(
-    store: &StoreClient,
-    term: Revision,
-    before: Revision,
-    table: &Table,
-) -> TableWrite {
-    let Ok(value) = serde_json::to_vec(table) else { return TableWrite::Failed };
-    let commit = Commit::default()
-        .expect(ASSIGNER_KEY, term)
-        .expect(TABLE_KEY, before)
-        .put(TABLE_KEY, value, None);
-    match store.call(StoreCall::Commit(commit)).await {
-        Ok(StoreAnswer::Committed(revision)) => TableWrite::Stored(revision),
-        Ok(StoreAnswer::Conflict(_)) | Err(StoreError::Unknown | StoreError::Malformed) => {
-            look_back(store, term, table).await
-        }
-        _ => TableWrite::Failed,
-    }
-}
-
-/// Finds out what became of a write without an answer.
-async fn look_back(store: &StoreClient, term: Revision, table: &Table) -> TableWrite {
-    match store.call(StoreCall::Get(ASSIGNER_KEY.into())).await {
-        Ok(StoreAnswer::Item { item: Some(item), .. }) if item.revision == term => {}
-        Ok(StoreAnswer::Item { .. }) => return TableWrite::Superseded,
-        _ => return TableWrite::Failed,
-    }
-    let (revision, held) = match store.call(StoreCall::Get(TABLE_KEY.into())).await {
-        Ok(StoreAnswer::Item { item: Some(item), .. }) => (item.revision, item.value),
-        Ok(StoreAnswer::Item { item: None, .. }) => return TableWrite::Earlier(Revision::ABSENT),
-        _ => return TableWrite::Failed,
-    };
-    match serde_json::from_slice::<Table>(&held) {
-        Ok(held) if held.writer == table.writer && held.version == table.version => {
-            TableWrite::Stored(revision)
-        }
-        // An earlier write of this assigner, or what it took over: the next write follows it.
-        Ok(_) => TableWrite::Earlier(revision),
-        Err(_) => TableWrite::Failed,
-    }
-}
--- a/crates/oriolehoist_edge/src/control/mod.rs
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod servers;
 mod store;
+mod table;
 mod tasks;
 
 pub(crate) use {
--- a/crates/oriolehoist_testkit/src/standin/backend.rs
+++ b/crates/oriolehoist_testkit/src/standin/backend.rs
@@ -1,5 +1,8 @@
 use {
-    crate::standin::{Belief, Journal, Run, RunEnd},
+    crate::standin::{
+        Belief, Journal, Run, RunEnd,
+        work::{HeldWork, OpenRun, Slot},
+    },
     axum::{
         Router,
         body::{Body, Bytes},
@@ -73,19 +76,19 @@
 /// The path whose requests crash the server.
 const CRASH_PATH: &str = "/crash";
 
-struct Living {
-    options: BackendOptions,
-    clock: Clock,
-    journal: Journal,
+pub(super) struct Living {
+    pub(super) options: BackendOptions,
+    pub(super) clock: Clock,
+    pub(super) journal: Journal,
     incarnation: Incarnation,
     started: Millis,
     frozen: watch::Receiver<bool>,
     draining: AtomicBool,
     misreport: Arc<AtomicBool>,
-    running: AtomicU32,
+    pub(super) running: AtomicU32,
     table: Mutex<GrantTable>,
     /// Counts ended work, so that revocations learn of it.
-    ended: watch::Sender<u64>,
+    pub(super) ended: watch::Sender<u64>,
     answers: Mutex<HashMap<String, RunAnswer>>,
     crash: Mutex<Option<oneshot::Sender<()>>>,
 }
@@ -253,7 +256,7 @@
         self.clock.now().since(self.started) < self.options.cold_for
     }
 
-    fn table(&self) -> MutexGuard<'_, GrantTable> {
+    pub(super) fn table(&self) -> MutexGuard<'_, GrantTable> {
         self.table.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
@@ -433,69 +436,6 @@
     })
 }
 
-/// A run that counts as abandoned unless it takes effect.
-struct OpenRun {
-    number: usize,
-    state: Arc<Living>,
-    ended: bool,
-}
-
-impl OpenRun {
-    fn take_effect(mut self) {
-        self.ended = true;
-        self.state.journal.end(self.number, self.state.clock.now(), RunEnd::Effect);
-    }
-}
-
-impl Drop for OpenRun {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.state.journal.end(self.number, self.state.clock.now(), RunEnd::Abandoned);
-        }
-    }
-}
-
-/// Work under a grant, ended when it is dropped.
-struct HeldWork {
-    state: Arc<Living>,
-    work: Option<Work>,
-}
-
-impl HeldWork {
-    fn may_take_effect(&self) -> bool {
-        let now = self.state.clock.now();
-        self.work.is_none_or(|work| self.state.table().may_take_effect(now, &work))
-    }
-}
-
-impl Drop for HeldWork {
-    fn drop(&mut self) {
-        if let Some(work) = self.work {
-            self.state.table().end(work);
-            self.state.ended.send_modify(|count| *count += 1);
-        }
-    }
-}
-
-/// One of the server's slots, held by a run.
-struct Slot {
-    state: Arc<Living>,
-}
-
-impl Slot {
-    fn take(state: &Arc<Living>) -> Option<Slot> {
-        let free = |running: u32| (running < state.options.slots).then_some(running + 1);
-        state.running.fetch_update(Ordering::Relaxed, Ordering::Relaxed, free).ok()?;
-        Some(Slot { state: Arc::clone(state) })
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.state.running.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 fn text(headers: &HeaderMap, name: &str) -> String {
     headers
         .get(name)
--- a/crates/oriolehoist_testkit/src/standin/mod.rs
+++ b/crates/oriolehoist_testkit/src/standin/mod.rs
@@ -4,6 +4,7 @@
 mod instances;
 mod journal;
 mod store;
+mod work;
 
 pub use {
     backend::{BackendOptions, BackendServer},
