Keep the members that the earlier assigner told at a takeover

Each daemon then took the connections and the retries of a single one for its share. Now it begins with those that the earlier assigner told. Before: the log of the test said members=0. After: never.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -222,6 +222,8 @@
                 self.known.versions.servers = self.next_stamp(Stamp::default());
                 self.known.versions.members = self.next_stamp(Stamp::default());
                 self.role = Role::Assigner(Box::new(assigner));
+                // Until they have been read, those that the earlier assigner told.
+                self.registered = self.known.members.clone();
                 self.tick(me);
             }
             Ok(_) => self.end_lease(won.lease),
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -1,6 +1,6 @@
 use {
     crate::users_platform::{
-        Ran, Server, Store,
+        Garble, Ran, RawServer, Server, Store,
         server::{Journal, Overlaps},
     },
     rustix::process::{Pid, Signal, kill_process},
@@ -153,14 +153,30 @@
         Ok(())
     }
 
+    /// Starts a server of `plain` that spoils answers, and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its address is taken.
+    pub async fn add_raw_server(&self, index: u8, garble: Garble) -> eyre::Result<RawServer> {
+        let address = self.address(100 + index, 8080);
+        let server = RawServer::start(address, garble).await?;
+        self.register_at(&format!("i-{index}"), address, "plain", "ready");
+        Ok(server)
+    }
+
     /// Registers a server.
     pub fn register(&self, server: &Server, service: &str, state: &str) {
+        self.register_at(&server.id, server.address, service, state);
+    }
+
+    fn register_at(&self, id: &str, address: SocketAddr, service: &str, state: &str) {
         let entry = json!({
-            "service": service, "address": server.address.to_string(), "zone": "north",
+            "service": service, "address": address.to_string(), "zone": "north",
             "version": "v1", "slots": 6, "state": state, "warmup_left_ms": 0, "seq": 1,
             "born": 1_700_000_000_000_u64,
         });
-        self.store.put(&format!("servers/{}", server.id), entry.to_string().as_bytes());
+        self.store.put(&format!("servers/{id}"), entry.to_string().as_bytes());
     }
 
     /// Removes a server's registration.
@@ -277,6 +293,18 @@
         self.signal(if frozen { Signal::STOP } else { Signal::CONT });
     }
 
+    /// Writes its settings anew with `text` added, and tells it so.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be written.
+    pub fn change_settings(&self, text: &str) -> eyre::Result<()> {
+        let before = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, format!("{before}{text}"))?;
+        self.signal(Signal::HUP);
+        Ok(())
+    }
+
     /// Asks it to stop, and waits until it has.
     ///
     /// # Errors
--- a/crates/oriolehoist_testkit/src/users_platform/mod.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/mod.rs
@@ -3,12 +3,14 @@
 
 mod client;
 mod deployment;
+mod raw_server;
 mod server;
 mod store;
 
 pub use {
     client::{Client, Reply},
     deployment::{Daemon, Deployment, HOST},
+    raw_server::{Garble, RawServer},
     server::{Ran, Server, ServerFaults},
     store::{Store, StoreFaults},
 };
--- a/tests/users_platform/assigner.rs
+++ b/tests/users_platform/assigner.rs
@@ -22,6 +22,25 @@
     sleep(SECOND * 7).await;
     let replies = finish(&deployment, load, 0.99).await;
     expect_that!(longest_gap(&replies), lt(SERVED_AGAIN));
+    for daemon in &deployment.daemons {
+        // Shares of connections and retries would be those of a single daemon.
+        expect_that!(daemon.log(), not(contains_substring("members=0 ")));
+    }
+    clean_up(deployment);
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_ended_leaves_the_members() -> eyre::Result<()> {
+    let mut deployment = deployment(3, 2, 1).await?;
+    let assigner = assigner(&deployment);
+    deployment.daemons[(assigner + 1) % 3].kill();
+    let load = Load::start(callers_without(&deployment, (assigner + 1) % 3), "members")?;
+    sleep(SECOND * 23).await;
+    finish(&deployment, load, 0.99).await;
+    let log = deployment.daemons[assigner].log();
+    expect_that!(log, contains_substring("members=2 registered=3"));
     clean_up(deployment);
     Ok(())
 }
@@ -140,3 +159,18 @@
     clean_up(deployment);
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_settings_are_checked_and_cut_nothing() -> eyre::Result<()> {
+    let deployment = deployment(2, 2, 1).await?;
+    let load = Load::start(callers(&deployment), "hup")?;
+    for (text, logged) in [("\n# the same\n", "valid=true"), ("\n[[[", "valid=false")] {
+        deployment.daemons[0].change_settings(text)?;
+        sleep(SECOND).await;
+        expect_that!(deployment.daemons[0].log(), contains_substring(logged));
+    }
+    finish(&deployment, load, 0.99).await;
+    clean_up(deployment);
+    Ok(())
+}
