Tell each suspect by itself, and judge suspects before retries are spent

Cause, found on rereading: notices of suspects went one after the other, and one peer that doesn't answer held each up for 0.5 s, more than the 3 s that are allowed with a few crashes at once. A suspect that was then refused had also spent a retry. Now each notice is told by itself, and a request is judged first. The test of a crashing request passes as before (3 crashes, at most 4).

--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -7,7 +7,7 @@
             handlers::{AskKnowledge, Reply},
             message::{Input, Member, Sync, SyncAnswer},
         },
-        process::Shared,
+        process::{Shared, SuspectNotice},
     },
     axum::{
         Router,
@@ -126,12 +126,17 @@
             Err(RecvError::Lagged(_)) => continue,
             Err(RecvError::Closed) => return,
         };
-        let Some(view) = cx.view.load() else { continue };
-        let told = view.peers.iter().map(|peer| ask::<()>(&cx, *peer, "/suspect", &notice));
-        futures::future::join_all(told).await;
+        // Each by itself: a peer that does not answer must not hold the next notice up.
+        tokio::spawn(tell_suspect(Arc::clone(&cx), notice));
     }
 }
 
+async fn tell_suspect(cx: Arc<Shared>, notice: SuspectNotice) {
+    let Some(view) = cx.view.load() else { return };
+    let told = view.peers.iter().map(|peer| ask::<()>(&cx, *peer, "/suspect", &notice));
+    futures::future::join_all(told).await;
+}
+
 /// Asks a daemon for everything that it knows.
 pub(crate) async fn ask_knowledge(cx: &Shared, address: SocketAddr) -> Option<Sync> {
     ask(cx, address, "/knowledge", &()).await
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -90,6 +90,10 @@
         if let Some(refusal) = too_late(cx, job, &backend) {
             return Outcome::Refused(refusal);
         }
+        let turn = match suspicion::admit(cx, job, &backend) {
+            Ok(turn) => turn,
+            Err(refusal) => return Outcome::Refused(refusal),
+        };
         if job.offers > 0 && !cx.try_spend_retry(&job.service) {
             return Outcome::Refused(Refusal::new(
                 Kind::ServerRefused,
@@ -100,10 +104,6 @@
         if untried && tried.len() as u32 >= job.route.attempts {
             return Outcome::Refused(Refusal::new(Kind::ServerRefused, "attempts of the route"));
         }
-        let turn = match suspicion::admit(cx, job, &backend) {
-            Ok(turn) => turn,
-            Err(refusal) => return Outcome::Refused(refusal),
-        };
         let mut changes = cx.view.subscribe();
         let offered = offer(cx, job, &backend).await;
         drop(turn);
