--- a/crates/oriolehoist_testkit/src/cluster/mod.rs
+++ b/crates/oriolehoist_testkit/src/cluster/mod.rs
@@ -4,6 +4,7 @@
 #[allow(clippy::module_inception)]
 mod cluster;
 mod daemon;
+mod questions;
 
 pub use {
     cluster::{Cluster, ClusterOptions, ServerHandle},
