--- a/crates/oriolehoist_edge/src/process/daemon.rs
+++ b/crates/oriolehoist_edge/src/process/daemon.rs
@@ -40,6 +40,13 @@
 pub fn run(platform: Arc<dyn Platform>, settings: &Path) -> eyre::Result<()> {
     let boot = read_boot(platform.as_ref(), settings)?;
     let cx = Arc::new(Shared::new(boot, platform)?);
+    report(
+        Event::Started,
+        format_args!(
+            "instance={} zone={} callers={} incarnation={}",
+            cx.boot.instance, cx.boot.zone, cx.boot.callers, cx.incarnation.0,
+        ),
+    );
     let (close, closed) = watch::channel(false);
     let (started_tx, started) = oneshot::channel();
     let control_cx = Arc::clone(&cx);
@@ -63,11 +70,6 @@
         let control = started.await.wrap_err("the control thread ended")??;
         let callers =
             tokio::spawn(serve_callers(Arc::clone(&cx), listen(cx.boot.callers)?, closed));
-        let text = format_args!(
-            "instance={} zone={} callers={} incarnation={}",
-            cx.boot.instance, cx.boot.zone, cx.boot.callers, cx.incarnation.0,
-        );
-        report(Event::Started, text);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
--- a/tests/users_platform/assigner.rs
+++ b/tests/users_platform/assigner.rs
@@ -174,3 +174,15 @@
     clean_up(deployment);
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_start_is_the_first_line_of_each_log() -> eyre::Result<()> {
+    let deployment = deployment(6, 2, 1).await?;
+    for daemon in &deployment.daemons {
+        let log = daemon.log();
+        expect_that!(log.lines().next().unwrap_or_default(), contains_substring("E1001 Started"));
+    }
+    clean_up(deployment);
+    Ok(())
+}
