Derive an order's range and fence from the order itself

Cause, found on rereading: range, fence and hold of an order were passed beside the order that holds them, and a probe was a grant whose record was changed after it had been sent; two matches then asked twice what had ended. Now an order on its way has a kind (grant, probe, release) and each kind one function for its end. Ruled out: a flag beside the hold, as before.

--- a/crates/oriolehoist_keyspace/src/orders.rs
+++ b/crates/oriolehoist_keyspace/src/orders.rs
@@ -41,15 +41,32 @@
     Unsent,
 }
 
+impl OrderEnd {
+    fn is_answered(&self) -> bool {
+        matches!(self, OrderEnd::Answered(_))
+    }
+
+    fn is_done(&self) -> bool {
+        matches!(self, OrderEnd::Answered(OrderAnswer::Done(_)))
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct InFlight {
     server: ServerKey,
     range: KeyRange,
     fence: u64,
-    /// How long a grant lasts; `None` for a release.
-    hold: Option<Millis>,
-    /// It renews one key, before the others are renewed.
-    probe: bool,
+    kind: Kind,
+}
+
+/// What an order on its way does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// It grants for this long.
+    Grant(Millis),
+    /// It renews one key for this long, before the others are renewed.
+    Probe(Millis),
+    Release,
 }
 
 impl Keeper {
@@ -120,7 +137,7 @@
                 .filter_map(|(position, ending)| {
                     let Former { server, fence, .. } = ending.former;
                     let order = Order::Release { range, fence };
-                    let sent = self.send(server, range, fence, None, order)?;
+                    let sent = self.send(server, Kind::Release, order)?;
                     if let Step::Ending { endings, .. } = &mut self.slices[index].step {
                         endings[position].asked = true;
                     }
@@ -133,7 +150,7 @@
                     && !self.server(owner).replaced =>
             {
                 let order = Order::Grant { range, fence, hold, handover: handover.clone() };
-                let sent = self.send(owner, range, fence, Some(hold), order);
+                let sent = self.send(owner, Kind::Grant(hold), order);
                 if sent.is_some() {
                     self.slices[index].granted = true;
                     self.slices[index].step = Step::Granting { handover, in_flight: true, at };
@@ -165,13 +182,9 @@
             }
             None => runs,
         };
+        let kind = if probed { Kind::Grant(hold) } else { Kind::Probe(hold) };
         let orders = due.into_iter().filter_map(|(range, fence)| {
-            let order = Order::Grant { range, fence, hold, handover: None };
-            let sent = self.send(key, range, fence, Some(hold), order)?;
-            if !probed && let Some(flight) = self.flights.get_mut(&sent.flight.0) {
-                flight.probe = true;
-            }
-            Some(sent)
+            self.send(key, kind, Order::Grant { range, fence, hold, handover: None })
         });
         orders.collect()
     }
@@ -197,29 +210,22 @@
         runs
     }
 
-    fn send(
-        &mut self,
-        key: ServerKey,
-        range: KeyRange,
-        fence: u64,
-        hold: Option<Millis>,
-        order: Order,
-    ) -> Option<OrderToSend> {
+    fn send(&mut self, key: ServerKey, kind: Kind, order: Order) -> Option<OrderToSend> {
         let address = self.server(key).address?;
+        let (Order::Grant { range, fence, .. } | Order::Release { range, fence }) = order;
         self.last_flight += 1;
         let flight = self.last_flight;
-        self.flights.insert(flight, InFlight { server: key, range, fence, hold, probe: false });
+        self.flights.insert(flight, InFlight { server: key, range, fence, kind });
         let server = self.server_mut(key);
-        if hold.is_some() {
-            server.grants_in_flight += 1;
-        }
-        Some(OrderToSend {
-            flight: Flight(flight),
-            server: server.life.clone(),
-            address,
-            order,
-            timeout: if hold.is_some() { ORDER_TIMEOUT } else { RELEASE_TIMEOUT },
-        })
+        let timeout = match kind {
+            Kind::Grant(_) | Kind::Probe(_) => {
+                server.grants_in_flight += 1;
+                ORDER_TIMEOUT
+            }
+            Kind::Release => RELEASE_TIMEOUT,
+        };
+        let server = server.life.clone();
+        Some(OrderToSend { flight: Flight(flight), server, address, order, timeout })
     }
 
     /// Notes how an order ended.
@@ -237,34 +243,41 @@
             }
             OrderEnd::Unanswered | OrderEnd::Unsent => server.failures += 1,
         }
-        match flight.hold {
-            Some(hold) => self.grant_ended(now, &flight, hold, end),
-            None => self.release_ended(now, &flight, end),
+        match flight.kind {
+            Kind::Grant(hold) => self.grant_ended(now, &flight, hold, end),
+            Kind::Probe(hold) => self.probe_ended(now, &flight, hold, end),
+            Kind::Release => self.release_ended(now, &flight, end),
         }
     }
 
-    fn grant_ended(&mut self, now: Millis, flight: &InFlight, hold: Millis, end: &OrderEnd) {
+    fn probe_ended(&mut self, now: Millis, flight: &InFlight, hold: Millis, end: &OrderEnd) {
         let server = self.server_mut(flight.server);
         server.grants_in_flight -= 1;
-        let answered = matches!(end, OrderEnd::Answered(_));
-        let done = matches!(end, OrderEnd::Answered(OrderAnswer::Done(_)));
-        match end {
-            OrderEnd::Unsent => {}
-            _ if flight.probe => server.on_probe_arrived(now, flight.range.first, hold, answered),
-            _ => server.on_grant_arrived(now, hold, answered),
+        if *end != OrderEnd::Unsent {
+            server.on_probe_arrived(now, flight.range.first, hold, end.is_answered());
         }
-        match flight.probe {
-            true if done => {
+        match end.is_done() {
+            true => {
                 server.probed = true;
                 server.next_renewal = now;
             }
-            _ if done => {}
-            _ => server.next_renewal = server.next_renewal.min(now + RETRY_PAUSE),
+            false => server.retry_renewal(now),
+        }
+    }
+
+    fn grant_ended(&mut self, now: Millis, flight: &InFlight, hold: Millis, end: &OrderEnd) {
+        let server = self.server_mut(flight.server);
+        server.grants_in_flight -= 1;
+        if *end != OrderEnd::Unsent {
+            server.on_grant_arrived(now, hold, end.is_answered());
+        }
+        let done = end.is_done();
+        if !done {
+            server.retry_renewal(now);
         }
         for slice in &mut self.slices {
             let same = slice.owner == flight.server
                 && slice.fence == flight.fence
-                && !flight.probe
                 && flight.range.contains(slice.range.first);
             match &mut slice.step {
                 Step::Granting { .. } if same && done => {
@@ -315,7 +328,7 @@
     fn has_grant_in_flight(&self, server: ServerKey, range: KeyRange) -> bool {
         self.flights.values().any(|flight| {
             flight.server == server
-                && flight.hold.is_some()
+                && flight.kind != Kind::Release
                 && flight.range.first <= range.last
                 && range.first <= flight.range.last
         })
--- a/crates/oriolehoist_keyspace/src/server.rs
+++ b/crates/oriolehoist_keyspace/src/server.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         Life,
-        timing::{LOST_AFTER, LOST_FAILURES, hold_end},
+        timing::{LOST_AFTER, LOST_FAILURES, RETRY_PAUSE, hold_end},
     },
     oriolehoist_port::KeyRange,
     oriolehoist_time::Millis,
@@ -186,6 +186,11 @@
         self.probe.filter(longer).map(|probe| probe.key)
     }
 
+    /// Lets the next renewal follow soon after one that failed.
+    pub(crate) fn retry_renewal(&mut self, now: Millis) {
+        self.next_renewal = self.next_renewal.min(now + RETRY_PAUSE);
+    }
+
     /// Notes that a grant arrived at `now` at the latest.
     pub(crate) fn on_grant_arrived(&mut self, now: Millis, hold: Millis, answered: bool) {
         self.grants.on_arrived(now, hold, answered);
