Use one type for lives, suspects' notices and fingerprints

Cause: the platform's daemon had a SuspectNotice, an Incarnation and a way to compute fingerprints of its own, beside those of oriolehoist_protocol and of the own interface's daemon. Now it uses the protocol's types, and both daemons call Fingerprint::of. Ruled out: sharing how peers are told, which differs by client.

--- a/crates/oriolehoist_admission/src/suspects.rs
+++ b/crates/oriolehoist_admission/src/suspects.rs
@@ -1,9 +1,25 @@
-use {oriolehoist_time::Millis, std::collections::HashMap};
+use {
+    oriolehoist_time::Millis,
+    std::{
+        collections::HashMap,
+        hash::{DefaultHasher, Hash, Hasher},
+    },
+};
 
 /// Identifies requests that are the same but for their id: service, method, path, key and body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u64);
 
+impl Fingerprint {
+    /// Computes it from what identifies the request; the same on every daemon.
+    pub fn of(request: &impl Hash) -> Fingerprint {
+        // The standard hasher without a random seed gives the same value in every process.
+        let mut hasher = DefaultHasher::new();
+        request.hash(&mut hasher);
+        Fingerprint(hasher.finish())
+    }
+}
+
 /// What to do with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Judgement {
--- a/crates/oriolehoist_daemon/src/request/suspicion.rs
+++ b/crates/oriolehoist_daemon/src/request/suspicion.rs
@@ -11,7 +11,6 @@
     oriolehoist_refusal::Kind,
     oriolehoist_time::Millis,
     std::{
-        hash::{DefaultHasher, Hash, Hasher},
         sync::{Arc, PoisonError},
         time::Duration,
     },
@@ -29,11 +28,8 @@
 
 /// Returns the fingerprint of a request.
 pub(crate) fn fingerprint(parsed: &Parsed, body: &[u8]) -> Fingerprint {
-    // The standard hasher without a random seed gives the same value on every daemon.
-    let mut hasher = DefaultHasher::new();
-    (parsed.service.name.as_str(), parsed.method.as_str(), &parsed.path).hash(&mut hasher);
-    (&parsed.key, body).hash(&mut hasher);
-    Fingerprint(hasher.finish())
+    let target = (parsed.service.name.as_str(), parsed.method.as_str(), &parsed.path);
+    Fingerprint::of(&(target, &parsed.key, body))
 }
 
 /// Judges a request before it is sent.
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -1,10 +1,11 @@
 //! What daemons tell each other, and what the control actor is told.
 
 use {
-    crate::{control::store::StoreError, process::Incarnation},
+    crate::control::store::StoreError,
     bytes::Bytes,
     oriolehoist_keyspace::{Flight, KeyRoutes, LoadReport, OrderEnd},
     oriolehoist_port::{RegisteredServer, Revision, StoreAnswer},
+    oriolehoist_protocol::Incarnation,
     oriolehoist_time::Millis,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -7,7 +7,7 @@
             handlers::{AskKnowledge, Reply},
             message::{Input, Member, Sync, SyncAnswer},
         },
-        process::{Shared, SuspectNotice},
+        process::Shared,
     },
     axum::{
         Router,
@@ -21,6 +21,7 @@
     kameo::actor::ActorRef,
     oriolehoist_log::{Event, report},
     oriolehoist_port::HttpCall,
+    oriolehoist_protocol::SuspectNotice,
     oriolehoist_time::Millis,
     serde::{Serialize, de::DeserializeOwned},
     std::{
--- a/crates/oriolehoist_edge/src/process/mod.rs
+++ b/crates/oriolehoist_edge/src/process/mod.rs
@@ -7,5 +7,5 @@
 pub use daemon::run;
 pub(crate) use {
     metrics::Metrics,
-    shared::{Incarnation, Shared, SuspectNotice, lock},
+    shared::{Shared, lock},
 };
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -7,9 +7,9 @@
     oriolehoist_admission::{Crash, Fingerprint, RetryBudget, Suspects},
     oriolehoist_keyspace::LoadReport,
     oriolehoist_port::{Boot, CallerLimits, Platform},
+    oriolehoist_protocol::{Incarnation, SuspectNotice},
     oriolehoist_publish::Published,
     oriolehoist_time::{Clock, Millis},
-    serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::{
         collections::{BTreeMap, HashMap},
@@ -22,11 +22,6 @@
     tokio::sync::{Notify, broadcast},
 };
 
-/// Identifies one life of a daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub(crate) struct Incarnation(pub(crate) u64);
-
 /// How long after the request to stop idle connections of callers stay open, so that the balancer
 /// has stopped sending new ones.
 const KEEP_IDLE_OPEN: Millis = Millis(2200);
@@ -48,14 +43,6 @@
 /// How many notices of suspects may wait to be told to the other daemons.
 const MAX_NOTICES: usize = 64;
 
-/// Tells that a request was at a server when it crashed.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(crate) struct SuspectNotice {
-    pub(crate) fingerprint: u64,
-    /// Stands for the life that ended.
-    pub(crate) crash: u64,
-}
-
 /// What every thread of a daemon shares.
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
@@ -178,7 +165,7 @@
 
     /// Notes a crash that this daemon or another one saw.
     pub(crate) fn note_suspect(&self, notice: SuspectNotice) {
-        let (fingerprint, crash) = (Fingerprint(notice.fingerprint), Crash(notice.crash));
+        let (fingerprint, crash) = (Fingerprint(notice.fingerprint), Crash(notice.crashed.0));
         lock(&self.suspects).on_crash(self.clock.now(), fingerprint, crash);
     }
 
--- a/crates/oriolehoist_edge/src/request/suspicion.rs
+++ b/crates/oriolehoist_edge/src/request/suspicion.rs
@@ -6,18 +6,15 @@
 use {
     crate::{
         connection::Backend,
-        process::{Shared, SuspectNotice, lock},
+        process::{Shared, lock},
         request::{forward::Job, refuse::Refusal},
     },
     oriolehoist_admission::{Fingerprint, Judgement},
     oriolehoist_log::{Event, report},
+    oriolehoist_protocol::{Incarnation, SuspectNotice},
     oriolehoist_refusal::Kind,
     oriolehoist_time::Millis,
-    std::{
-        hash::{DefaultHasher, Hash, Hasher},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{sync::MutexGuard, time::sleep},
 };
 
@@ -76,7 +73,8 @@
         }
         let server = &backend.life.id;
         report(Event::ServerCrashed, format_args!("server={server} request={request}"));
-        let notice = SuspectNotice { fingerprint: fingerprint.0, crash: u64::from(backend.number) };
+        let crashed = Incarnation(u64::from(backend.number));
+        let notice = SuspectNotice { fingerprint: fingerprint.0, crashed };
         cx.note_suspect(notice);
         // Nobody listens while the process ends.
         let _ = cx.suspect_notices.send(notice);
@@ -96,9 +94,6 @@
 }
 
 fn fingerprint(job: &Job) -> Fingerprint {
-    // The standard hasher without a random seed gives the same value on every daemon.
-    let mut hasher = DefaultHasher::new();
-    (job.service.as_str(), job.method.as_str(), &job.target, job.key).hash(&mut hasher);
-    job.body.hash(&mut hasher);
-    Fingerprint(hasher.finish())
+    let target = (job.service.as_str(), job.method.as_str(), &job.target);
+    Fingerprint::of(&(target, job.key, &job.body))
 }
