Keep the retry budgets of several services in one type

Cause: both daemons looked a service's budget up, made it if it was missing and set its savings, in the same five lines. Now RetryBudgets::of does it for both. Behaviour is the same; the admission tests pass unchanged.

--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -29,6 +29,6 @@
     gauge::{AtServer, AtServerEnd, Gauge, WorkTotal},
     limit::AdaptiveLimit,
     queue::{ClassQueue, Ticket, Waiting},
-    retry::RetryBudget,
+    retry::{RetryBudget, RetryBudgets},
     suspects::{Crash, Fingerprint, Judgement, Suspects},
 };
--- a/crates/oriolehoist_admission/src/retry.rs
+++ b/crates/oriolehoist_admission/src/retry.rs
@@ -1,3 +1,5 @@
+use std::{collections::HashMap, hash::Hash};
+
 /// Bounds how many requests are sent again, as a share of those sent for the first time.
 ///
 /// Without a bound, a failing server would receive ever more of the same requests.
@@ -37,3 +39,24 @@
         }
     }
 }
+
+/// The budgets of several services.
+#[derive(Clone, Debug)]
+pub struct RetryBudgets<K>(HashMap<K, RetryBudget>);
+
+impl<K> Default for RetryBudgets<K> {
+    fn default() -> RetryBudgets<K> {
+        RetryBudgets(HashMap::new())
+    }
+}
+
+impl<K: Clone + Eq + Hash> RetryBudgets<K> {
+    /// Returns the budget of a service, which saves up to this many retries. A new one has saved
+    /// them.
+    pub fn of(&mut self, service: &K, savings: u64) -> &mut RetryBudget {
+        let new = || RetryBudget::with_savings(savings);
+        let budget = self.0.entry(service.clone()).or_insert_with(new);
+        budget.set_savings(savings);
+        budget
+    }
+}
--- a/crates/oriolehoist_daemon/src/process/shared.rs
+++ b/crates/oriolehoist_daemon/src/process/shared.rs
@@ -1,14 +1,13 @@
 use {
     crate::{connection::PeerClient, process::Metrics, version::View},
     arc_swap::ArcSwap,
-    oriolehoist_admission::{RetryBudget, Suspects},
+    oriolehoist_admission::{RetryBudgets, Suspects},
     oriolehoist_platform::{InstanceList, Store},
     oriolehoist_protocol::{ServiceName, Witness, ZoneName},
     oriolehoist_publish::Published,
     oriolehoist_refusal::KeyRing,
     oriolehoist_time::Clock,
     std::{
-        collections::HashMap,
         net::{IpAddr, SocketAddr},
         sync::{
             Mutex,
@@ -31,7 +30,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) view: Published<View>,
     pub(crate) suspects: Mutex<Suspects>,
-    pub(crate) retries: Mutex<HashMap<ServiceName, RetryBudget>>,
+    pub(crate) retries: Mutex<RetryBudgets<ServiceName>>,
     pub(crate) stopping: AtomicBool,
     /// Where the other daemons are, as control last knew.
     pub(crate) peer_addresses: ArcSwap<Vec<SocketAddr>>,
--- a/crates/oriolehoist_daemon/src/request/forward.rs
+++ b/crates/oriolehoist_daemon/src/request/forward.rs
@@ -191,12 +191,8 @@
 }
 
 fn with_retries<T>(cx: &Shared, parsed: &Parsed, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-    let savings = parsed.policy.retry_savings;
     let mut retries = cx.retries.lock().unwrap_or_else(PoisonError::into_inner);
-    let new = || RetryBudget::with_savings(savings);
-    let budget = retries.entry(parsed.service.name.clone()).or_insert_with(new);
-    budget.set_savings(savings);
-    f(budget)
+    f(retries.of(&parsed.service.name, parsed.policy.retry_savings))
 }
 
 /// Refuses a repeated request whose first attempt may have run at an owner that was lost since.
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -4,7 +4,7 @@
         process::Metrics,
         version::View,
     },
-    oriolehoist_admission::{Crash, Fingerprint, RetryBudget, Suspects},
+    oriolehoist_admission::{Crash, Fingerprint, RetryBudget, RetryBudgets, Suspects},
     oriolehoist_keyspace::LoadReport,
     oriolehoist_port::{Boot, CallerLimits, Platform},
     oriolehoist_protocol::{Incarnation, SuspectNotice},
@@ -57,7 +57,7 @@
     stopping: AtomicBool,
     stopping_since: AtomicU64,
     connections: AtomicUsize,
-    retries: Mutex<HashMap<SmolStr, RetryBudget>>,
+    retries: Mutex<RetryBudgets<SmolStr>>,
     /// Requests that were at servers when these crashed.
     pub(crate) suspects: Mutex<Suspects>,
     /// What this daemon has learnt of them and the others have not.
@@ -156,11 +156,7 @@
                 ((slack / daemons as f64) as u64).max(LEAST_SAVINGS)
             }
         };
-        let mut retries = lock(&self.retries);
-        let new = || RetryBudget::with_savings(savings);
-        let budget = retries.entry(service.clone()).or_insert_with(new);
-        budget.set_savings(savings);
-        f(budget)
+        f(lock(&self.retries).of(service, savings))
     }
 
     /// Notes a crash that this daemon or another one saw.
