--- a/crates/oriolehoist_testkit/src/fault/network.rs
+++ b/crates/oriolehoist_testkit/src/fault/network.rs
@@ -1,11 +1,11 @@
 use {
-    crate::fault::pump::run_connection,
+    crate::{fault::pump::run_connection, lock::lock},
     oriolehoist_time::{Clock, Millis},
     std::{
         collections::HashMap,
         net::{IpAddr, SocketAddr},
         sync::{
-            Arc, Mutex, MutexGuard,
+            Arc, Mutex,
             atomic::{AtomicU64, Ordering},
         },
         time::Duration,
@@ -181,7 +181,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-}
--- a/crates/oriolehoist_testkit/src/lib.rs
+++ b/crates/oriolehoist_testkit/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod fault;
+mod lock;
 pub mod oracle;
 pub mod scenario;
 pub mod site;
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -1,7 +1,10 @@
 use {
-    crate::users_platform::{
-        Garble, Ran, RawServer, Server, Store,
-        server::{Journal, Overlaps},
+    crate::{
+        lock::lock,
+        users_platform::{
+            Garble, Ran, RawServer, Server, Store,
+            server::{Journal, Overlaps},
+        },
     },
     rustix::process::{Pid, Signal, kill_process},
     serde_json::json,
@@ -10,10 +13,7 @@
         net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
-        sync::{
-            PoisonError,
-            atomic::{AtomicU8, Ordering},
-        },
+        sync::atomic::{AtomicU8, Ordering},
         time::{Duration, Instant},
     },
     tokio::time::sleep,
@@ -186,12 +186,12 @@
 
     /// Returns everything that servers ran.
     pub fn ran(&self) -> Vec<Ran> {
-        self.journal.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.journal).clone()
     }
 
     /// Returns every time at which two servers held a key.
     pub fn overlaps(&self) -> Vec<String> {
-        self.overlaps.lock().unwrap_or_else(PoisonError::into_inner).1.clone()
+        lock(&self.overlaps).1.clone()
     }
 
     fn daemon(&self, program: &Path, index: u8) -> eyre::Result<Daemon> {
--- a/crates/oriolehoist_testkit/src/users_platform/server.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/server.rs
@@ -1,4 +1,5 @@
 use {
+    crate::lock::lock,
     axum::{
         Router,
         body::Body,
@@ -11,7 +12,7 @@
     std::{
         net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+            Arc, Mutex, OnceLock,
             atomic::{AtomicBool, AtomicU32, Ordering},
         },
         time::{Duration, Instant},
@@ -154,10 +155,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Inner {
     fn end(&self) {
         self.dead.store(true, Ordering::Relaxed);
--- a/crates/oriolehoist_testkit/src/users_platform/store.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/store.rs
@@ -1,4 +1,5 @@
 use {
+    crate::lock::lock,
     axum::{
         Json, Router,
         extract::{ConnectInfo, Path, Query, Request, State},
@@ -13,7 +14,7 @@
     std::{
         collections::{BTreeMap, HashSet},
         net::{IpAddr, SocketAddr},
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
     tokio::{net::TcpListener, task::AbortHandle, time::sleep},
@@ -127,10 +128,6 @@
     }
 }
 
-fn lock(state: &Shared) -> MutexGuard<'_, Inner> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Inner {
     fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
         self.revision += 1;
