Judge the length of heads once, and name two figures

Cause: requests and responses judged the length of their heads by the same match, and a time to come back and a number of ranks stood as bare figures. Now head_length serves both, SOON is used, and RANKS is named. Behaviour is the same; the tests of messages pass unchanged.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -25,6 +25,8 @@
 const SERVERS_OLD: Millis = Millis(900);
 /// How much longer each further daemon waits, so that they don't all try at once.
 const RANK_DELAY: Millis = Millis(60);
+/// Into how many ranks daemons fall by their names.
+const RANKS: u32 = 8;
 /// The pause between two attempts to become the assigner.
 const CANDIDACY_PAUSE: Millis = Millis(250);
 /// Time between two messages to a peer.
@@ -96,7 +98,7 @@
         let now = self.now();
         match &mut self.role {
             Role::Follower { next_try } => {
-                let rank = u64::from(self.me.instance.bytes().map(u32::from).sum::<u32>() % 8);
+                let rank = u64::from(self.me.instance.bytes().map(u32::from).sum::<u32>() % RANKS);
                 let silent = now.since(self.heard_at) > SILENCE + RANK_DELAY * rank;
                 if silent && self.heard {
                     self.heard = false;
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -29,7 +29,7 @@
 /// How often a request is offered to a server that can't be reached.
 const MAX_UNSENT: u32 = 2;
 /// When to come back if nothing better is known.
-const SOON: Millis = Millis(100);
+pub(super) const SOON: Millis = Millis(100);
 
 /// A request on its way.
 pub(crate) struct Job {
--- a/crates/oriolehoist_edge/src/request/select.rs
+++ b/crates/oriolehoist_edge/src/request/select.rs
@@ -4,7 +4,10 @@
     crate::{
         connection::Backend,
         process::Shared,
-        request::{forward::Job, refuse::Refusal},
+        request::{
+            forward::{Job, SOON},
+            refuse::Refusal,
+        },
     },
     oriolehoist_keyspace::Holder,
     oriolehoist_refusal::Kind,
@@ -90,7 +93,7 @@
         Some(server) => Choice::Server(Arc::clone(server)),
         None => {
             let refusal = Refusal::new(Kind::Overloaded, "every server is at its share");
-            Choice::Refuse(refusal.come_back(Millis(100)))
+            Choice::Refuse(refusal.come_back(SOON))
         }
     }
 }
--- a/crates/oriolehoist_http1/src/head.rs
+++ b/crates/oriolehoist_http1/src/head.rs
@@ -50,12 +50,7 @@
 pub fn parse_request(buf: &mut BytesMut, most: usize) -> Result<Option<RequestHead>, HeadError> {
     let mut slots = [EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut slots);
-    let length = match parsed.parse(buf) {
-        Ok(Status::Complete(length)) if length <= most => length,
-        Ok(Status::Partial) if buf.len() <= most => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
-        Err(_) => return Err(HeadError::Malformed),
-    };
+    let Some(length) = head_length(parsed.parse(buf), buf.len(), most)? else { return Ok(None) };
     let method = parsed.method.unwrap_or_default().as_bytes();
     let head = RequestHead {
         method: Method::from_bytes(method).map_err(|_| HeadError::Malformed)?,
@@ -75,12 +70,7 @@
 pub fn parse_response(buf: &mut BytesMut, most: usize) -> Result<Option<ResponseHead>, HeadError> {
     let mut slots = [EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut slots);
-    let length = match parsed.parse(buf) {
-        Ok(Status::Complete(length)) if length <= most => length,
-        Ok(Status::Partial) if buf.len() <= most => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
-        Err(_) => return Err(HeadError::Malformed),
-    };
+    let Some(length) = head_length(parsed.parse(buf), buf.len(), most)? else { return Ok(None) };
     let head = ResponseHead {
         status: parsed.code.unwrap_or_default(),
         headers: headers(parsed.headers)?,
@@ -90,6 +80,20 @@
     Ok(Some(head))
 }
 
+/// Returns the length of a head of at most `most` bytes; `None` if it is not whole yet.
+fn head_length(
+    parsed: httparse::Result<usize>,
+    buffered: usize,
+    most: usize,
+) -> Result<Option<usize>, HeadError> {
+    match parsed {
+        Ok(Status::Complete(length)) if length <= most => Ok(Some(length)),
+        Ok(Status::Partial) if buffered <= most => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
+
 fn headers(parsed: &[httparse::Header<'_>]) -> Result<HeaderMap, HeadError> {
     let mut headers = HeaderMap::with_capacity(parsed.len());
     for header in parsed {
