--- a/crates/oriolehoist_testkit/src/scenario/mod.rs
+++ b/crates/oriolehoist_testkit/src/scenario/mod.rs
@@ -15,6 +15,7 @@
 //! at most once, and not run means not run. `docs/PROOFS.md` lists the scenarios.
 
 mod judge;
+mod network;
 mod parse;
 mod run;
 mod script;
--- a/crates/oriolehoist_testkit/src/scenario/run.rs
+++ b/crates/oriolehoist_testkit/src/scenario/run.rs
@@ -2,11 +2,10 @@
     crate::{
         caller::{Balancer, Records, run_load},
         cluster::{Cluster, ClusterOptions, DaemonMode},
-        fault::Fault,
         oracle::{Availability, Violation},
         scenario::{
             judge::judge,
-            script::{Action, End, FaultKind, Script, Selector, Setting},
+            script::{Action, Script, Selector, Setting},
             watch::SettingsWatch,
         },
         site,
@@ -18,7 +17,7 @@
     oriolehoist_settings::{HEAD_KEY, SettingsVersion},
     oriolehoist_time::Millis,
     serde_json::Value as Json,
-    std::{net::IpAddr, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::{task::JoinSet, time::sleep},
 };
 
@@ -62,9 +61,6 @@
 /// How long a site is watched after its load has ended.
 const AFTERMATH: Duration = Duration::from_millis(300);
 /// How many bytes of answers pass before a connection is cut: the first answer's head and a part
-/// of its body.
-const TRUNCATED_BYTES: u64 = 240;
-
 /// Runs a scenario against daemons of this kind.
 ///
 /// # Errors
@@ -83,8 +79,8 @@
     Ok(runner.report(script))
 }
 
-struct Runner {
-    cluster: Cluster,
+pub(super) struct Runner {
+    pub(super) cluster: Cluster,
     records: Records,
     watch: SettingsWatch,
     happened: Happened,
@@ -202,7 +198,7 @@
         Ok(())
     }
 
-    fn servers(&self, selector: &Selector) -> eyre::Result<Vec<usize>> {
+    pub(super) fn servers(&self, selector: &Selector) -> eyre::Result<Vec<usize>> {
         Ok(match selector {
             Selector::Owner(key) => vec![self.cluster.last_server_of(key)?],
             Selector::NotOwners(key) => {
@@ -215,7 +211,7 @@
         })
     }
 
-    async fn daemons(&self, selector: &Selector) -> eyre::Result<Vec<usize>> {
+    pub(super) async fn daemons(&self, selector: &Selector) -> eyre::Result<Vec<usize>> {
         let count = self.cluster.daemons.len();
         let service = self.cluster.site.keyed().name;
         Ok(match selector {
@@ -358,62 +354,6 @@
         Ok((head.text, head.version))
     }
 
-    async fn fault(&mut self, kind: FaultKind, from: &End, to: &End) -> eyre::Result<()> {
-        let fault = match kind {
-            FaultKind::Cut => Fault::Cut,
-            FaultKind::Silence => Fault::SilenceOpen,
-            FaultKind::SwallowRequests => Fault::SwallowRequests,
-            FaultKind::SwallowAnswers => Fault::SwallowAnswers,
-            FaultKind::LoseAnswers => Fault::LoseAnswers,
-            FaultKind::LoseWriteAnswers => Fault::LoseWriteAnswers,
-            FaultKind::TruncateAnswers => Fault::CutAnswersAfter(TRUNCATED_BYTES),
-            FaultKind::Delay(by) => Fault::Delay(by),
-        };
-        let edges = self.edges(to).await?;
-        for source in self.sources(from).await? {
-            for edge in &edges {
-                self.cluster.network.set(source, edge, fault);
-            }
-        }
-        Ok(())
-    }
-
-    async fn sources(&self, end: &End) -> eyre::Result<Vec<Option<IpAddr>>> {
-        Ok(match end {
-            End::Of(selector) => {
-                let daemons = self.daemons(selector).await?;
-                daemons.into_iter().map(|index| Some(self.cluster.daemon_ip(index))).collect()
-            }
-            _ => vec![None],
-        })
-    }
-
-    async fn edges(&self, end: &End) -> eyre::Result<Vec<String>> {
-        Ok(match end {
-            End::Store => vec!["store".into()],
-            End::List => vec!["list".into()],
-            End::Everyone => Vec::new(),
-            End::Of(selector) => {
-                let servers = self.servers(selector)?.into_iter();
-                let daemons = self.daemons(selector).await?.into_iter();
-                let servers = servers.map(|index| self.cluster.servers[index].edge());
-                servers.chain(daemons.map(|index| self.cluster.daemons[index].edge())).collect()
-            }
-        })
-    }
-
-    async fn isolate(&mut self, selector: &Selector) -> eyre::Result<()> {
-        let isolated = self.daemons(selector).await?;
-        for (index, daemon) in self.cluster.daemons.iter().enumerate() {
-            for &lone in isolated.iter().filter(|&&lone| lone != index) {
-                let lone = &self.cluster.daemons[lone];
-                self.cluster.network.set(Some(lone.ip), &daemon.edge(), Fault::Cut);
-                self.cluster.network.set(Some(daemon.ip), &lone.edge(), Fault::Cut);
-            }
-        }
-        Ok(())
-    }
-
     async fn send_crash(&mut self, times: u32) -> eyre::Result<()> {
         self.cluster.follow_crashes();
         let client = reqwest::Client::builder().no_proxy().build()?;
--- a/crates/oriolehoist_testkit/src/standin/backend.rs
+++ b/crates/oriolehoist_testkit/src/standin/backend.rs
@@ -1,8 +1,5 @@
 use {
-    crate::standin::{
-        Belief, Journal, Run, RunEnd,
-        work::{HeldWork, OpenRun, Slot},
-    },
+    crate::standin::{Belief, Journal, running::run_request},
     axum::{
         Router,
         body::{Body, Bytes},
@@ -13,9 +10,8 @@
     },
     oriolehoist_ownership::{GrantTable, Work},
     oriolehoist_protocol::{
-        DEADLINE_MS, EPOCH, EXCHANGE, Epoch, INCARNATION, Incarnation, KEY, LoadReport, NOT_RUN,
-        Order, OrderBody, OrderOutcome, REQUEST_ID, SHARD, ServerAnswer, ServerName, ServiceName,
-        ShardGrant, ShardId,
+        EXCHANGE, Epoch, INCARNATION, Incarnation, LoadReport, NOT_RUN, Order, OrderBody,
+        OrderOutcome, ServerAnswer, ServerName, ServiceName, ShardGrant, ShardId,
     },
     oriolehoist_time::{Clock, Millis},
     std::{
@@ -32,7 +28,6 @@
         net::TcpListener,
         runtime::{Builder, Runtime},
         sync::{oneshot, watch},
-        time::{sleep, timeout},
     },
 };
 
@@ -72,15 +67,15 @@
 }
 
 /// How much slower a cold server is.
-const COLD_FACTOR: u64 = 3;
+pub(super) const COLD_FACTOR: u64 = 3;
 /// The path whose requests crash the server.
-const CRASH_PATH: &str = "/crash";
+pub(super) const CRASH_PATH: &str = "/crash";
 
 pub(super) struct Living {
     pub(super) options: BackendOptions,
     pub(super) clock: Clock,
     pub(super) journal: Journal,
-    incarnation: Incarnation,
+    pub(super) incarnation: Incarnation,
     started: Millis,
     frozen: watch::Receiver<bool>,
     draining: AtomicBool,
@@ -89,14 +84,14 @@
     table: Mutex<GrantTable>,
     /// Counts ended work, so that revocations learn of it.
     pub(super) ended: watch::Sender<u64>,
-    answers: Mutex<HashMap<String, RunAnswer>>,
-    crash: Mutex<Option<oneshot::Sender<()>>>,
+    pub(super) answers: Mutex<HashMap<String, RunAnswer>>,
+    pub(super) crash: Mutex<Option<oneshot::Sender<()>>>,
 }
 
 /// What a run answered, kept so that a repeated request does not run again.
 #[derive(Clone, Debug)]
-struct RunAnswer {
-    body: String,
+pub(super) struct RunAnswer {
+    pub(super) body: String,
 }
 
 impl BackendServer {
@@ -234,7 +229,7 @@
 }
 
 impl Living {
-    async fn thawed(&self) {
+    pub(super) async fn thawed(&self) {
         let mut frozen = self.frozen.clone();
         let _ = frozen.wait_for(|frozen| !frozen).await;
     }
@@ -252,7 +247,7 @@
         }
     }
 
-    fn is_cold(&self) -> bool {
+    pub(super) fn is_cold(&self) -> bool {
         self.clock.now().since(self.started) < self.options.cold_for
     }
 
@@ -261,7 +256,11 @@
     }
 
     /// Begins work under the grants, if keys are owned.
-    fn begin(&self, shard: Option<ShardId>, epoch: Option<Epoch>) -> Result<Option<Work>, ()> {
+    pub(super) fn begin(
+        &self,
+        shard: Option<ShardId>,
+        epoch: Option<Epoch>,
+    ) -> Result<Option<Work>, ()> {
         match (shard, epoch) {
             _ if !self.options.keyed => Ok(None),
             (Some(shard), Some(epoch)) => {
@@ -344,106 +343,14 @@
     run.await.unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
 }
 
-async fn run_request(state: Arc<Living>, request: Request<Body>) -> Response {
-    state.thawed().await;
-    let (parts, body) = request.into_parts();
-    let Ok(body) = axum::body::to_bytes(body, usize::MAX).await else {
-        return StatusCode::BAD_REQUEST.into_response();
-    };
-    let headers = &parts.headers;
-    let exchange = text(headers, EXCHANGE);
-    let shard = text(headers, SHARD).parse().ok().map(ShardId);
-    let epoch = Epoch::parse(&text(headers, EPOCH));
-    let request_id = text(headers, REQUEST_ID);
-    let Ok(work) = state.begin(shard, epoch) else {
-        return refuse(&state, &exchange, "grant");
-    };
-    let work = HeldWork { state: Arc::clone(&state), work };
-    let known = state
-        .answers
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
-        .get(&request_id)
-        .cloned();
-    if let Some(known) = known {
-        return respond(&state, StatusCode::OK, &exchange, known.body);
-    }
-    let Some(slot) = Slot::take(&state) else {
-        return refuse(&state, &exchange, "shed");
-    };
-    let run = Run {
-        service: state.options.service.clone(),
-        server: state.options.name.clone(),
-        incarnation: state.incarnation,
-        request_id: request_id.clone(),
-        key: text(headers, KEY),
-        shard,
-        epoch,
-        began: state.clock.now(),
-        ended: state.clock.now(),
-        end: RunEnd::Open,
-    };
-    let open =
-        OpenRun { number: state.journal.begin(run), state: Arc::clone(&state), ended: false };
-    if parts.uri.path() == CRASH_PATH {
-        let crash = state.crash.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take();
-        let _ = crash.map(|tx| tx.send(()));
-        std::future::pending::<()>().await;
-    }
-    let length = work_of(&state, headers);
-    let deadline = text(headers, DEADLINE_MS).parse().map(Duration::from_millis);
-    // A server that is told a deadline does not work past it.
-    if timeout(deadline.unwrap_or(Duration::MAX), sleep(length)).await.is_err() {
-        return StatusCode::GATEWAY_TIMEOUT.into_response();
-    }
-    state.thawed().await;
-    if !work.may_take_effect() {
-        return refuse(&state, &exchange, "grant");
-    }
-    let answer = RunAnswer {
-        body: format!(
-            "{{\"request_id\":\"{request_id}\",\"key\":\"{}\",\"server\":\"{}\",\"bytes\":{}}}",
-            text(headers, KEY),
-            state.options.name,
-            body.len(),
-        ),
-    };
-    // Taking effect and remembering it are one step: a repeat may have run at the same time.
-    let first = {
-        let mut answers = state.answers.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let known = answers.get(&request_id).cloned();
-        if known.is_none() {
-            open.take_effect();
-            if !request_id.is_empty() {
-                answers.insert(request_id, answer.clone());
-            }
-        }
-        known
-    };
-    drop((slot, work));
-    respond(&state, StatusCode::OK, &exchange, first.unwrap_or(answer).body)
-}
-
-/// A header with which tests ask for a run of another length, in milliseconds.
-const WORK_MS: &str = "work-ms";
-
-fn work_of(state: &Living, headers: &HeaderMap) -> Duration {
-    let asked = text(headers, WORK_MS).parse().map(Millis);
-    let usual = asked.unwrap_or(state.options.service_time);
-    Duration::from(match state.is_cold() {
-        true => usual * COLD_FACTOR,
-        false => usual,
-    })
-}
-
-fn text(headers: &HeaderMap, name: &str) -> String {
+pub(super) fn text(headers: &HeaderMap, name: &str) -> String {
     headers
         .get(name)
         .map(|v| String::from_utf8_lossy(v.as_bytes()).into_owned())
         .unwrap_or_default()
 }
 
-fn refuse(state: &Living, exchange: &str, reason: &'static str) -> Response {
+pub(super) fn refuse(state: &Living, exchange: &str, reason: &'static str) -> Response {
     let mut response = respond(state, StatusCode::SERVICE_UNAVAILABLE, exchange, String::new());
     response
         .headers_mut()
@@ -451,7 +358,12 @@
     response
 }
 
-fn respond(state: &Living, status: StatusCode, exchange: &str, body: String) -> Response {
+pub(super) fn respond(
+    state: &Living,
+    status: StatusCode,
+    exchange: &str,
+    body: String,
+) -> Response {
     let mut response = (status, body).into_response();
     let mut set = |name: &'static str, value: &str| {
         if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/oriolehoist_testkit/src/standin/mod.rs
+++ b/crates/oriolehoist_testkit/src/standin/mod.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod instances;
 mod journal;
+mod running;
 mod store;
 mod work;
 
