--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -177,13 +177,16 @@
         self.register_at(&server.id, server.address, service, state);
     }
 
+    /// Updates a server's registration right after the next page of the servers that is not the
+    /// last one.
+    pub fn register_between_pages(&self, server: &Server, service: &str, state: &str) {
+        let entry = registration(server.address, service, state);
+        self.store.put_between_pages(&format!("servers/{}", server.id), entry.as_bytes());
+    }
+
     fn register_at(&self, id: &str, address: SocketAddr, service: &str, state: &str) {
-        let entry = json!({
-            "service": service, "address": address.to_string(), "zone": "north",
-            "version": "v1", "slots": 6, "state": state, "warmup_left_ms": 0, "seq": 1,
-            "born": 1_700_000_000_000_u64,
-        });
-        self.store.put(&format!("servers/{id}"), entry.to_string().as_bytes());
+        let entry = registration(address, service, state);
+        self.store.put(&format!("servers/{id}"), entry.as_bytes());
     }
 
     /// Removes a server's registration.
@@ -238,6 +241,16 @@
     }
 }
 
+/// Returns a server's entry in the store.
+fn registration(address: SocketAddr, service: &str, state: &str) -> String {
+    let entry = json!({
+        "service": service, "address": address.to_string(), "zone": "north",
+        "version": "v1", "slots": 6, "state": state, "warmup_left_ms": 0, "seq": 1,
+        "born": 1_700_000_000_000_u64,
+    });
+    entry.to_string()
+}
+
 impl Daemon {
     /// Starts the daemon.
     ///
--- a/crates/oriolehoist_testkit/src/users_platform/store.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/store.rs
@@ -56,6 +56,10 @@
     leases: BTreeMap<u64, (Instant, Duration)>,
     faults: StoreFaults,
     request_count: u64,
+    /// The maximum number of items in a page of a listing, or 0 for no limit.
+    page_size: usize,
+    /// Writes that happen right after the next page that is not the last one of its listing.
+    writes_between_pages: Vec<(String, Vec<u8>)>,
 }
 
 #[derive(Clone)]
@@ -110,6 +114,16 @@
         lock(&self.state).faults = faults;
     }
 
+    /// Limits the number of items in a page of a listing.
+    pub fn set_page_size(&self, items: usize) {
+        lock(&self.state).page_size = items;
+    }
+
+    /// Writes a value right after the next page that is not the last one of its listing.
+    pub fn put_between_pages(&self, key: &str, value: &[u8]) {
+        lock(&self.state).writes_between_pages.push((key.into(), value.to_vec()));
+    }
+
     /// Drops the history, so that watches from an earlier revision fail.
     pub fn compact_history(&self) {
         let mut state = lock(&self.state);
@@ -238,14 +252,26 @@
 #[derive(Deserialize)]
 struct RangeQuery {
     prefix: String,
+    #[serde(default)]
+    after: String,
 }
 
 async fn range(State(state): State<Shared>, Query(query): Query<RangeQuery>) -> Response {
-    let state = lock(&state);
-    let keys = state.items.keys().filter(|key| key.starts_with(&query.prefix));
-    let items: Vec<Value> = keys.filter_map(|key| state.item(key)).collect();
-    Json(json!({ "items": items, "has_more": false, "current_rev": state.revision }))
-        .into_response()
+    let mut state = lock(&state);
+    let keys = state.items.keys();
+    let keys: Vec<&String> =
+        keys.filter(|key| key.starts_with(&query.prefix) && **key > query.after).collect();
+    let page_size = if state.page_size == 0 { keys.len() } else { state.page_size };
+    let has_more = keys.len() > page_size;
+    let items: Vec<Value> =
+        keys.into_iter().take(page_size).filter_map(|key| state.item(key)).collect();
+    let page = json!({ "items": items, "has_more": has_more, "current_rev": state.revision });
+    if has_more {
+        for (key, value) in std::mem::take(&mut state.writes_between_pages) {
+            state.put(&key, value, 0);
+        }
+    }
+    Json(page).into_response()
 }
 
 #[derive(Deserialize)]
--- a/tests/users_platform/servers.rs
+++ b/tests/users_platform/servers.rs
@@ -38,6 +38,43 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_drains_while_the_pages_of_the_list_are_read_gets_no_requests_after_the_bound()
+-> eyre::Result<()> {
+    let deployment = deployment(3, 3, 2).await?;
+    // The servers' first page ends with `i-3`.
+    deployment.store.set_page_size(4);
+    let leaving = [deployment.servers[0].clone(), deployment.servers[3].clone()];
+    let load = Load::start(caller_addresses(&deployment), "pages")?;
+    sleep(SECOND).await;
+    deployment.register_between_pages(&leaving[0], "keyed", "draining");
+    deployment.register_between_pages(&leaving[1], "plain", "draining");
+    // A change that the reader of the servers has not seen yet is lost with the history, so that it
+    // reads all pages again.
+    deployment.store.put("op/other", b"{}");
+    deployment.store.compact_history();
+    let is_draining = |server: &Server| {
+        let entry = deployment.store.get(&format!("servers/{}", server.id)).unwrap_or_default();
+        String::from_utf8_lossy(&entry).contains("draining")
+    };
+    let compacted = Instant::now();
+    while !leaving.iter().all(is_draining) && compacted.elapsed() < SECOND * 5 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    expect_that!(leaving.iter().all(is_draining), eq(true));
+    let announced = Instant::now();
+    sleep(SECOND * 5).await;
+    finish_and_check(&deployment, load, 0.99).await;
+    let late = deployment.executed_requests().into_iter().filter(|run| {
+        leaving.iter().any(|server| server.id == run.server)
+            && run.started_at > announced + Duration::from_millis(2000)
+    });
+    expect_that!(late.count(), eq(0));
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_vanishes_hands_its_keys_over() -> eyre::Result<()> {
