Log how the list of servers was read and spread, and what each request relied on

Now E2008 gives the pages and revisions of a read, E2009 when a daemon learned of a drain and from whom, E3012 a message that a peer did not confirm, with its size; E4001 and E4004 add the age of the list and how long the server was known to drain. Three metrics count the messages, their bytes and the age of the list. No decision is changed.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -304,7 +304,7 @@
             Input::Servers { read_at, list, settles_at } => {
                 self.watching_servers = true;
                 self.servers_settle_at = settles_at;
-                let changed = self.state.merge_servers(read_at, list);
+                let changed = self.state.merge_servers(&self.cx, read_at, "store", list);
                 match &mut self.role {
                     Role::Assigner(assigner) => {
                         assigner.wait_for_servers(settles_at);
@@ -346,7 +346,7 @@
                 // The store is reachable, and a watch is waiting there that would have reported any
                 // change.
                 if response.is_ok() && self.watching_servers {
-                    self.state.servers_fresh_at = self.state.servers_fresh_at.max(sent_at);
+                    self.state.confirm_servers(&self.cx, sent_at);
                 }
                 self.with_assigner_of_term(term, "the lease is no longer valid", |assigner| {
                     assigner.on_lease_renewed(now, sent_at, &response)
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -8,7 +8,7 @@
     bytes::Bytes,
     oriolehoist_keyspace::KeyRoutes,
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{Configuration, ServerState},
+    oriolehoist_port::{Configuration, RegisteredServer, ServerState},
     oriolehoist_time::Millis,
     smol_str::SmolStr,
     std::{
@@ -64,27 +64,72 @@
     }
 
     /// Applies a server list unless it is older. Returns whether the servers changed.
-    pub(crate) fn merge_servers(&mut self, read_at: Millis, list: ServerList) -> bool {
+    ///
+    /// `read_at` is the latest time at which the list is known to have matched the store, and
+    /// `source` is where it comes from, for the log.
+    pub(crate) fn merge_servers(
+        &mut self,
+        cx: &Shared,
+        read_at: Millis,
+        source: &str,
+        list: ServerList,
+    ) -> bool {
         if list.revision < self.servers.revision {
             return false;
         }
-        self.servers_fresh_at = self.servers_fresh_at.max(read_at);
+        let confirmed_at = self.servers_fresh_at;
+        self.confirm_servers(cx, read_at);
         let changed = list.servers != self.servers.servers;
         if changed {
-            let is_draining =
-                |entry: &&oriolehoist_port::RegisteredServer| entry.state == ServerState::Draining;
+            let is_draining = |entry: &&RegisteredServer| entry.state == ServerState::Draining;
             let text = format_args!(
-                "revision={} servers={} leaving={}",
+                "revision={} servers={} leaving={} from={source} age_ms={}",
                 list.revision,
                 list.servers.len(),
                 list.servers.iter().filter(is_draining).count(),
+                cx.clock.now().since(self.servers_fresh_at).0,
             );
             report(Event::ServersChanged, text);
+            self.report_draining(cx, confirmed_at, source, &list);
         }
         self.servers = list;
         changed
     }
 
+    /// Records that the server list matched the store at `read_at`.
+    pub(crate) fn confirm_servers(&mut self, cx: &Shared, read_at: Millis) {
+        self.servers_fresh_at = self.servers_fresh_at.max(read_at);
+        cx.set_servers_confirmed_at(self.servers_fresh_at);
+    }
+
+    /// Logs the servers that drain in one of the known list, last confirmed at `confirmed_at`, and
+    /// the new `list`, but not in both.
+    fn report_draining(&self, cx: &Shared, confirmed_at: Millis, source: &str, list: &ServerList) {
+        let states = |list: &ServerList| -> HashMap<(SmolStr, u64), bool> {
+            let servers = list.servers.iter();
+            let state = |server: &RegisteredServer| server.state == ServerState::Draining;
+            servers.map(|server| ((server.id.clone(), server.started_at), state(server))).collect()
+        };
+        let known = states(&self.servers);
+        for ((id, started_at), draining) in states(list) {
+            let known = known.get(&(id.clone(), started_at)).copied();
+            if known.unwrap_or(false) == draining {
+                continue;
+            }
+            let ready_ms = match known {
+                Some(false) => cx.clock.now().since(confirmed_at).0 as i64,
+                _ => -1,
+            };
+            let revision = list.revision;
+            report(
+                Event::ServerDraining,
+                format_args!(
+                    "server={id} draining={draining} revision={revision} from={source} ready_ms={ready_ms}"
+                ),
+            );
+        }
+    }
+
     /// Applies the routes if their version is higher. Returns whether it was.
     pub(crate) fn merge_routes(
         &mut self,
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -42,10 +42,10 @@
         }
         let read_at = now.since(sync.servers_age);
         if let Some(list) = sync.servers {
-            changed |= self.state.merge_servers(read_at, list);
+            changed |= self.state.merge_servers(&self.cx, read_at, &sync.from.instance, list);
             self.state.versions.servers = sync.versions.servers;
         } else if self.state.versions.servers == sync.versions.servers {
-            self.state.servers_fresh_at = self.state.servers_fresh_at.max(read_at);
+            self.state.confirm_servers(&self.cx, read_at);
         }
         if let Some(routes) = sync.routes {
             changed |= self.state.merge_routes(sync.versions.routes, routes);
--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -70,6 +70,7 @@
 }
 
 async fn metrics(State(cx): State<Arc<Shared>>) -> Response {
+    cx.metrics.set_servers_age(cx.servers_age());
     match cx.metrics.render() {
         Ok(text) => text.into_response(),
         Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
@@ -117,7 +118,25 @@
     to: Member,
     sync: SyncMessage,
 ) {
-    let response = call_peer::<SyncResponse>(&cx, to.address, "/sync", &sync).await;
+    let sent_at = cx.clock.now();
+    let (bytes, response) = match rmp_serde::to_vec_named(&sync) {
+        Ok(body) => {
+            (body.len(), call_peer::<SyncResponse>(&cx, to.address, "/sync", body.into()).await)
+        }
+        Err(error) => {
+            report(Event::PeerMalformed, format_args!("error=\"{error}\""));
+            (0, None)
+        }
+    };
+    cx.metrics.on_sync(bytes, response.is_some());
+    if response.is_none() {
+        let (peer, took) = (&to.instance, cx.clock.now().since(sent_at));
+        let revision = sync.servers.as_ref().map_or(0, |list| list.revision.0);
+        report(
+            Event::SyncFailed,
+            format_args!("to={peer} bytes={bytes} servers={revision} took_ms={}", took.0),
+        );
+    }
     // The actor runs until the process exits.
     let _ = control.tell(Input::Synced { to, response }).await;
 }
@@ -142,14 +161,20 @@
 
 async fn broadcast_suspect(cx: Arc<Shared>, notice: SuspectNotice) {
     let Some(view) = cx.view.load() else { return };
-    let calls =
-        view.peer_addresses.iter().map(|peer| call_peer::<()>(&cx, *peer, "/suspect", &notice));
+    let body = match rmp_serde::to_vec_named(&notice) {
+        Ok(body) => Bytes::from(body),
+        Err(error) => {
+            return report(Event::PeerMalformed, format_args!("error=\"{error}\""));
+        }
+    };
+    let peers = view.peer_addresses.iter();
+    let calls = peers.map(|peer| call_peer::<()>(&cx, *peer, "/suspect", body.clone()));
     futures::future::join_all(calls).await;
 }
 
 /// Fetches a snapshot of the cluster state from a daemon.
 pub(crate) async fn fetch_cluster_state(cx: &Shared, address: SocketAddr) -> Option<SyncMessage> {
-    call_peer(cx, address, "/knowledge", &()).await
+    call_peer(cx, address, "/knowledge", Bytes::new()).await
 }
 
 /// Sends a message to a daemon. Returns `None` if there is no valid response; the cause does not
@@ -158,9 +183,8 @@
     cx: &Shared,
     address: SocketAddr,
     path: &str,
-    message: &(impl Serialize + std::marker::Sync),
+    body: Bytes,
 ) -> Option<T> {
-    let body = rmp_serde::to_vec_named(message).ok()?.into();
     let request = HttpRequest { method: Method::POST, path: path.into(), body };
     let sending = async {
         let connection = cx.peer_client.acquire(address).await?;
--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -88,7 +88,9 @@
         platform: &dyn Platform,
         now: &impl Fn() -> Millis,
     ) -> Result<(), StoreError> {
+        let started_at = now();
         let mut found = Vec::new();
+        let (mut pages, mut first_revision) = (0, None);
         let mut after: Option<String> = None;
         let watch_revision = loop {
             let prefix = platform.servers_prefix().to_owned();
@@ -98,6 +100,8 @@
             else {
                 return Err(StoreError::Malformed);
             };
+            pages += 1;
+            first_revision.get_or_insert(at);
             after = items.last().map(|item| item.key.clone());
             found.extend(items);
             // Pages are not a consistent snapshot, so the first watch has to see the changes that
@@ -110,6 +114,13 @@
         if unavailable_for.is_some_and(|time| time > UNAVAILABLE_AFTER) {
             self.recovered_at = now();
         }
+        let text = format_args!(
+            "servers={} pages={pages} first={} last={watch_revision} took_ms={}",
+            found.len(),
+            first_revision.unwrap_or_default(),
+            now().since(started_at).0,
+        );
+        report(Event::ServersRead, text);
         let keys: HashSet<&String> = found.iter().map(|item| &item.key).collect();
         let missing: Vec<String> =
             self.entries.keys().filter(|key| !keys.contains(key)).cloned().collect();
--- a/crates/oriolehoist_edge/src/process/metrics.rs
+++ b/crates/oriolehoist_edge/src/process/metrics.rs
@@ -3,7 +3,8 @@
     oriolehoist_refusal::RefusalKind,
     oriolehoist_time::Millis,
     prometheus::{
-        Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        TextEncoder,
     },
 };
 
@@ -18,6 +19,9 @@
     malformed_requests: IntCounterVec,
     store_calls: IntCounterVec,
     orders: IntCounterVec,
+    syncs: IntCounterVec,
+    sync_bytes: IntCounter,
+    servers_age: IntGauge,
 }
 
 impl Metrics {
@@ -37,13 +41,23 @@
             )?,
             store_calls: counter("oriolehoist_store_calls_total", "Calls to the store.", "kind")?,
             orders: counter("oriolehoist_orders_total", "Orders to servers.", "end")?,
+            syncs: counter("oriolehoist_syncs_total", "Messages to the other daemons.", "end")?,
+            sync_bytes: IntCounter::new(
+                "oriolehoist_sync_bytes_total",
+                "Bytes of the messages to the other daemons.",
+            )?,
+            servers_age: IntGauge::new(
+                "oriolehoist_servers_age_milliseconds",
+                "The time since the list of servers was last confirmed.",
+            )?,
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
-        for counter in
-            [&metrics.refusals, &metrics.malformed_requests, &metrics.store_calls, &metrics.orders]
-        {
+        let Metrics { refusals, malformed_requests, store_calls, orders, syncs, .. } = &metrics;
+        for counter in [refusals, malformed_requests, store_calls, orders, syncs] {
             metrics.registry.register(Box::new(counter.clone()))?;
         }
+        metrics.registry.register(Box::new(metrics.sync_bytes.clone()))?;
+        metrics.registry.register(Box::new(metrics.servers_age.clone()))?;
         Ok(metrics)
     }
 
@@ -68,6 +82,17 @@
         self.orders.with_label_values(&[outcome]).inc();
     }
 
+    /// Records a message to another daemon, and whether that daemon confirmed it.
+    pub(crate) fn on_sync(&self, bytes: usize, confirmed: bool) {
+        self.syncs.with_label_values(&[if confirmed { "done" } else { "failed" }]).inc();
+        self.sync_bytes.inc_by(bytes as u64);
+    }
+
+    /// Sets the age of the list of servers.
+    pub(crate) fn set_servers_age(&self, age: Millis) {
+        self.servers_age.set(i64::try_from(age.0).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> eyre::Result<Vec<u8>> {
         let mut buf = Vec::new();
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -60,6 +60,7 @@
     stopping: AtomicBool,
     stopping_since: AtomicU64,
     caller_connections: AtomicUsize,
+    servers_confirmed_at: AtomicU64,
     retry_budgets: Mutex<RetryBudgets<SmolStr>>,
     /// Requests that were in flight at servers when those crashed.
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
@@ -96,6 +97,7 @@
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
             caller_connections: AtomicUsize::new(0),
+            servers_confirmed_at: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
             crash_suspects: Mutex::new(CrashSuspects::with_quarantine_threshold(
                 QUARANTINE_THRESHOLD,
@@ -124,6 +126,16 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Sets the latest time at which the list of servers is known to have matched the store.
+    pub(crate) fn set_servers_confirmed_at(&self, at: Millis) {
+        self.servers_confirmed_at.store(at.0, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the list of servers was last known to match the store.
+    pub(crate) fn servers_age(&self) -> Millis {
+        self.clock.now().since(Millis(self.servers_confirmed_at.load(Ordering::Relaxed)))
+    }
+
     /// Records that a connection from a caller was opened.
     pub(crate) fn on_connection_opened(&self) {
         self.caller_connections.fetch_add(1, Ordering::Relaxed);
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -55,6 +55,8 @@
     /// How many attempts were made in which the request may have been sent.
     pub(crate) attempts: u32,
     pub(crate) last_server: SmolStr,
+    /// How long that server was known to be draining when it was selected, if it was.
+    pub(crate) last_draining: Option<Millis>,
     /// Whether an attempt ended without a response.
     pub(crate) may_have_run: bool,
 }
@@ -109,6 +111,7 @@
                 "the route's maximum number of attempts is reached",
             ));
         }
+        request.last_draining = backend.draining_for(cx.clock.now());
         let mut view_changes = cx.view.subscribe();
         let result = send_attempt(cx, request, &backend).await;
         drop(suspect_guard);
--- a/crates/oriolehoist_edge/src/request/respond.rs
+++ b/crates/oriolehoist_edge/src/request/respond.rs
@@ -60,7 +60,7 @@
             let text = format_args!(
                 "request={} {} status={} late={} took_ms={}",
                 routed.id_text(),
-                routed.log_context(),
+                routed.log_context(cx),
                 response.status,
                 cx.clock.now() > routed.latency_objective,
                 elapsed.0,
@@ -69,7 +69,7 @@
             CallerResponse::from(response)
         }
         ForwardOutcome::Refused(refusal) => {
-            log_refusal(cx, routed.id_text(), &routed.log_context(), &refusal, elapsed);
+            log_refusal(cx, routed.id_text(), &routed.log_context(cx), &refusal, elapsed);
             refusal.caller_response()
         }
     }
@@ -120,6 +120,7 @@
         view,
         attempts: 0,
         last_server: SmolStr::default(),
+        last_draining: None,
         may_have_run: false,
     })
 }
@@ -158,15 +159,18 @@
     }
 
     /// Describes the routing decision for the log, with the versions that it was based on.
-    fn log_context(&self) -> String {
+    fn log_context(&self, cx: &Shared) -> String {
         let key = self.key.map_or(-1, i32::from);
         let (route, service, server) = (&self.route.name, &self.service, &self.last_server);
         let given = self.deadline.since(self.arrived).0;
         let (attempts, config) = (self.attempts, self.view.config.version);
         let (routes, servers) = (&self.view.routes_version, self.view.servers_revision);
+        let draining = self.last_draining.map_or(-1, |time| time.0 as i64);
+        let servers_age = cx.servers_age().0;
         format!(
             "route={route} service={service} key={key} offers={attempts} server={server} \
-             given_ms={given} returned={} config={config:08x} routes={routes} servers={servers}",
+             given_ms={given} returned={} config={config:08x} routes={routes} servers={servers} \
+             servers_age_ms={servers_age} draining_ms={draining}",
             self.is_retry,
         )
     }
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -55,6 +55,10 @@
     ServersChanged = 2006, Info;
     /// The registration of a server is malformed and was ignored.
     ServerMalformed = 2007, Warn;
+    /// All servers were read from the store.
+    ServersRead = 2008, Info;
+    /// A server started or stopped draining, as far as this daemon knows.
+    ServerDraining = 2009, Info;
     /// This daemon won a term as the assigner of a service.
     TermWon = 3001, Info;
     /// Another daemon holds a higher term, and this one is no longer the assigner.
@@ -77,6 +81,8 @@
     OrderFailed = 3010, Info;
     /// Daemons joined, or stopped responding to the assigner.
     MembersChanged = 3011, Info;
+    /// A peer did not confirm a message of the assigner.
+    SyncFailed = 3012, Info;
     /// A request was refused.
     Refused = 4001, Info;
     /// A server crashed with requests in flight.
