Apply the changes made while the pages of the server list are read

Callers saw: requests at servers that had announced draining seconds before, until the servers ended. Class: a state that is assembled from several reads, labelled with the revision of the last one. The grown deployments have five pages and more, the small ones one. Now a listing has the revision of its first page, and it is used only once the changes up to the last page have been applied, entry by entry by revision. Keeping that is plain data in oriolehoist_registry. A random test of 2,000 seeds compares the registry with a store that changes between pages.

--- a/crates/oriolehoist_edge/src/control/election.rs
+++ b/crates/oriolehoist_edge/src/control/election.rs
@@ -60,7 +60,7 @@
                     match store.call(request).await {
                         // The lease has ended, and with it the right of its holder to send orders.
                         Ok(StoreResponse::Changes { changes, .. })
-                            if changes.iter().any(|c| matches!(c, Change::Removed(_))) =>
+                            if changes.iter().any(|c| matches!(c, Change::Removed { .. })) =>
                         {
                             claim_role(cx, store, local).await
                         }
--- a/crates/oriolehoist_edge/src/control/store.rs
+++ b/crates/oriolehoist_edge/src/control/store.rs
@@ -29,6 +29,9 @@
     /// The store responded with an unexpected status, and did not execute the request.
     #[display("unexpected status {_0}")]
     UnexpectedStatus(u16),
+    /// The store has discarded the history that the request needs.
+    #[display("history discarded")]
+    HistoryCompacted,
     /// The response could not be decoded.
     #[display("malformed response")]
     Malformed,
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -164,7 +164,7 @@
             }
             let platform = self.cx.platform.as_ref();
             if idle && let Ok(ActorReply(server_list)) = self.control.ask(GetServers).await {
-                reader.restart(platform, &server_list);
+                reader.restart(&server_list);
             }
             idle = false;
             let read_at = self.cx.clock.now();
@@ -208,7 +208,7 @@
                     for change in changes {
                         match change {
                             Change::Written(item) => members.extend(parse_member(item)),
-                            Change::Removed(key) => drop(members.remove(&key)),
+                            Change::Removed { key, .. } => drop(members.remove(&key)),
                         }
                     }
                     after = Some(at.max(after.unwrap_or_default()));
--- a/crates/oriolehoist_port/src/store.rs
+++ b/crates/oriolehoist_port/src/store.rs
@@ -40,7 +40,12 @@
     /// The item was written.
     Written(Item),
     /// The key was removed.
-    Removed(String),
+    Removed {
+        /// The key.
+        key: String,
+        /// The revision of the removal.
+        revision: Revision,
+    },
 }
 
 /// An atomic write of several values, which is applied only if all conditions hold.
--- /dev/null
+++ b/crates/oriolehoist_registry/tests/registry.rs
@@ -0,0 +1,147 @@
+//! Tests of listings in pages, changes, and removed registrations.
+
+use {
+    googletest::prelude::*,
+    oriolehoist_port::{RegisteredServer, Revision, ServerState},
+    oriolehoist_registry::{Listing, Registration, Registry},
+    oriolehoist_time::Millis,
+    smol_str::{SmolStr, format_smolstr},
+    std::collections::BTreeMap,
+};
+
+const NOW: Millis = Millis(10_000);
+
+fn server(id: &str, state: ServerState) -> RegisteredServer {
+    RegisteredServer {
+        id: id.into(),
+        started_at: 1,
+        service: "tides".into(),
+        address: "127.0.0.1:80".parse().expect("the address is valid"),
+        zone: "north".into(),
+        slots: 6,
+        state,
+        warm_up_remaining: Millis::ZERO,
+    }
+}
+
+fn registration(id: &str, revision: u64, state: ServerState) -> Registration {
+    Registration { id: id.into(), revision: Revision(revision), server: Some(server(id, state)) }
+}
+
+/// Returns the state of each server by its id.
+fn states(registry: &mut Registry, now: Millis) -> BTreeMap<SmolStr, ServerState> {
+    registry.servers(now).into_iter().map(|server| (server.id, server.state)).collect()
+}
+
+#[gtest]
+fn a_change_between_two_pages_is_applied_after_the_last_page() {
+    let mut listing = Listing::default();
+    listing.add_page(Revision(10), [registration("a", 4, ServerState::Ready)]);
+    listing.add_page(Revision(12), [registration("b", 5, ServerState::Ready)]);
+    let mut registry = Registry::default();
+    registry.replace(NOW, listing);
+    expect_that!(registry.revision(), eq(Revision(10)));
+    expect_that!(registry.is_consistent(), eq(false));
+    registry.on_registered(registration("a", 11, ServerState::Draining));
+    registry.advance(Revision(12));
+    expect_that!(registry.is_consistent(), eq(true));
+    expect_that!(states(&mut registry, NOW)["a"], eq(ServerState::Draining));
+}
+
+#[gtest]
+fn a_change_that_a_later_page_includes_is_not_undone_by_an_earlier_one() {
+    let mut listing = Listing::default();
+    listing.add_page(Revision(10), [registration("a", 4, ServerState::Ready)]);
+    listing.add_page(Revision(14), [registration("b", 13, ServerState::Draining)]);
+    let mut registry = Registry::default();
+    registry.replace(NOW, listing);
+    registry.on_registered(registration("b", 11, ServerState::Ready));
+    registry.on_removed(NOW, &"b".into(), Revision(12));
+    expect_that!(states(&mut registry, NOW)["b"], eq(ServerState::Draining));
+    registry.on_registered(registration("b", 13, ServerState::Draining));
+    registry.on_registered(registration("b", 15, ServerState::Ready));
+    expect_that!(states(&mut registry, NOW)["b"], eq(ServerState::Ready));
+}
+
+#[gtest]
+fn removed_servers_drain_for_a_while_and_may_return_after_an_outage() {
+    let mut registry = Registry::from_servers(Revision(3), [server("a", ServerState::Ready)]);
+    registry.on_removed(NOW, &"a".into(), Revision(4));
+    expect_that!(states(&mut registry, NOW)["a"], eq(ServerState::Draining));
+    expect_that!(states(&mut registry, NOW + Millis(7_999)).len(), eq(1));
+    expect_that!(states(&mut registry, NOW + Millis(8_000)).len(), eq(0));
+
+    let mut registry = Registry::from_servers(Revision(3), [server("a", ServerState::Ready)]);
+    registry.on_store_recovered(NOW);
+    registry.replace(NOW, Listing::default());
+    expect_that!(states(&mut registry, NOW + Millis(2_299))["a"], eq(ServerState::Ready));
+    expect_that!(states(&mut registry, NOW + Millis(2_300))["a"], eq(ServerState::Draining));
+    registry.on_registered(registration("a", 9, ServerState::Ready));
+    expect_that!(states(&mut registry, NOW + Millis(60_000))["a"], eq(ServerState::Ready));
+}
+
+/// The entries of a store that changes at random, and the changes themselves.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    entries: BTreeMap<SmolStr, Registration>,
+    changes: Vec<(SmolStr, Option<Registration>, u64)>,
+}
+
+impl Store {
+    fn change(&mut self, random: &mut fastrand::Rng) {
+        self.revision += 1;
+        let id = format_smolstr!("s{:02}", random.u8(..40));
+        let state = if random.bool() { ServerState::Ready } else { ServerState::Draining };
+        let entry = (random.u8(..4) > 0).then(|| registration(&id, self.revision, state));
+        match &entry {
+            Some(entry) => drop(self.entries.insert(id.clone(), entry.clone())),
+            None => drop(self.entries.remove(&id)),
+        }
+        self.changes.push((id, entry, self.revision));
+    }
+}
+
+#[gtest]
+fn a_consistent_registry_matches_the_store_whatever_changes_while_pages_are_read() {
+    for seed in 0..2_000 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut store = Store::default();
+        (0..60).for_each(|_| store.change(&mut random));
+        let mut registry = Registry::default();
+        for _ in 0..3 {
+            let mut listing = Listing::default();
+            let mut after = SmolStr::default();
+            loop {
+                let rest = store.entries.range(after.clone()..).filter(|(id, _)| **id > after);
+                let page: Vec<Registration> =
+                    rest.map(|(_, entry)| entry.clone()).take(10).collect();
+                let last = page.last().map(|entry| entry.id.clone());
+                listing.add_page(Revision(store.revision), page);
+                match last {
+                    Some(last) => after = last,
+                    None => break,
+                }
+                (0..random.u8(..4)).for_each(|_| store.change(&mut random));
+            }
+            registry.replace(NOW, listing);
+            for (id, entry, revision) in store.changes.clone() {
+                if Revision(revision) > registry.revision() {
+                    match entry {
+                        Some(entry) => registry.on_registered(entry),
+                        None => registry.on_removed(NOW, &id, Revision(revision)),
+                    }
+                }
+            }
+            registry.advance(Revision(store.revision));
+            expect_that!(registry.is_consistent(), eq(true));
+            // Removed servers are dropped after their retention.
+            let known = states(&mut registry, NOW + Millis(10_000));
+            let stored = store.entries.iter().filter_map(|(id, entry)| {
+                entry.server.as_ref().map(|server| (id.clone(), server.state))
+            });
+            expect_that!(known, eq(&stored.collect()), "seed {seed}");
+            (0..20).for_each(|_| store.change(&mut random));
+        }
+    }
+}
