Send each daemon only what it lacks of the servers, routes and members

Callers saw: after a takeover on the grown deployments, refusals and time-outs for seconds, and daemons that learned of draining servers late. Cause: the assigner sent the whole list, and after a takeover also the routes and the members, to every daemon at each change. That is 2.4 MB for 72 daemons and 263 servers, 2 s of a link of 10 Mbit/s, while a daemon waits for 500 ms, after which all was sent again, to daemons that don't respond every 25 ms. Class: messages whose size grows with the state, sent to all. Now servers are replicated as the entries that changed since the receiver's revision, checked by a digest, so that a daemon that read them itself needs nothing; routes and members as the changes since one of the last 16 versions, also across terms. A new assigner first asks what each daemon has. Large messages take turns. The configuration, which all daemons watch, is sent to those only that lack it after 500 ms. Daemons of an earlier build don't understand these messages.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -5,7 +5,7 @@
             assigner::Assigner,
             cluster_state::ClusterState,
             election::campaign,
-            message::{ElectionOutcome, Input, Member, SyncMessage, TermVersion},
+            message::{ElectionOutcome, Input, Member, SyncMessage},
             peers::send_sync,
         },
         process::Shared,
@@ -14,6 +14,7 @@
     oriolehoist_keyspace::AssignmentTable,
     oriolehoist_log::{Event, report},
     oriolehoist_port::StoreRequest,
+    oriolehoist_replica::TermVersion,
     oriolehoist_time::Millis,
     std::sync::{Arc, atomic::Ordering},
 };
@@ -24,6 +25,9 @@
 /// each lease renewal and sends it with the next sync message, so the age normally stays below
 /// about 600 ms.
 const SERVERS_STALE_AFTER: Millis = Millis(900);
+/// The maximum number of large sync messages in flight. Together they have to pass the link of a
+/// small instance before they time out.
+const MAX_BULK_SYNCS: usize = 2;
 /// The additional delay before an election attempt per rank, so that the daemons don't all try at
 /// once.
 const ELECTION_STAGGER: Millis = Millis(60);
@@ -60,8 +64,6 @@
     pub(super) term: u64,
     /// Whether the last read of the servers succeeded and a watch is waiting for changes.
     watching_servers: bool,
-    /// Until this time, live servers may be missing from the server list.
-    servers_settle_at: Millis,
 }
 
 /// The role of this daemon in the cluster.
@@ -89,7 +91,6 @@
             assigner_reachable: false,
             term: 0,
             watching_servers: false,
-            servers_settle_at: Millis::ZERO,
         }
     }
 
@@ -130,15 +131,21 @@
                 let own = self.cx.take_load_reports();
                 assigner.on_load(&own);
                 let routes = assigner.tick(&self.cx, &self.store, control);
-                if routes != self.state.routes {
-                    let version = self.next_version(self.state.versions.routes);
-                    self.state.merge_routes(version, routes);
+                if routes != *self.state.key_routes() {
+                    let version = self.next_version(self.state.routes.version());
+                    self.state.set_routes(version, routes);
                     self.state.publish(&self.cx);
                 }
                 self.update_members();
                 self.sync_peers(control, false);
             }
         }
+        if self.state.expire_servers(&self.cx) {
+            if let Role::Assigner(assigner) = &mut self.role {
+                assigner.on_servers(now, &self.state, true);
+            }
+            self.state.publish(&self.cx);
+        }
         self.update_readiness();
     }
 
@@ -162,28 +169,42 @@
         let Role::Assigner(assigner) = &mut self.role else { return };
         let peers = self.registered_members.len() as u64;
         let interval = SYNC_INTERVAL.max(Millis(peers * 1000 / MAX_SYNCS_PER_SECOND));
-        let versions = self.state.versions;
+        let state = &self.state;
+        let mut bulk_count = assigner.peers.values().filter(|peer| peer.bulk_in_flight).count();
         for member in self.registered_members.iter().filter(|member| **member != self.local) {
             let peer = assigner.peer(now, member);
-            let is_outdated = peer.versions != versions;
-            if peer.sync_in_flight || (now < peer.next_sync_at && !is_outdated && !resigning) {
+            let is_due = resigning || now >= peer.next_sync_at;
+            let missing = peer.missing_parts(now, state);
+            if peer.sync_in_flight || !(is_due || missing.is_some()) {
                 continue;
             }
-            let sync = SyncMessage {
+            let mut sync = SyncMessage {
                 from: self.local.clone(),
                 term: self.term,
-                versions,
-                servers_age: now.since(self.state.servers_fresh_at),
+                versions: state.versions(),
+                servers_age: now.since(state.servers_fresh_at),
                 resigning,
-                config: (peer.versions.config < versions.config)
-                    .then(|| self.state.config_bytes.clone()),
-                servers: (peer.versions.servers != versions.servers)
-                    .then(|| self.state.servers.clone()),
-                routes: (peer.versions.routes != versions.routes)
-                    .then(|| self.state.routes.clone()),
-                members: (peer.versions.members != versions.members)
-                    .then(|| self.state.members.clone()),
+                config: None,
+                servers: None,
+                routes: None,
+                members: None,
             };
+            // Large messages take turns, so that the link stays free for orders and for the lease.
+            // Meanwhile the peer gets the regular messages.
+            let bulk_allowed = bulk_count < MAX_BULK_SYNCS;
+            if let Some(missing) = missing.filter(|_| bulk_allowed || !peer.awaits_bulk) {
+                let mut complete = sync.clone();
+                let is_bulk = missing.add_to(&mut complete, now, state);
+                peer.awaits_bulk = is_bulk && !bulk_allowed;
+                peer.bulk_in_flight = is_bulk && bulk_allowed;
+                bulk_count += usize::from(peer.bulk_in_flight);
+                if !peer.awaits_bulk {
+                    sync = complete;
+                }
+            }
+            if peer.awaits_bulk && !is_due {
+                continue;
+            }
             peer.sync_in_flight = true;
             peer.next_sync_at = now + interval;
             tokio::spawn(send_sync(Arc::clone(&self.cx), control.clone(), member.clone(), sync));
@@ -199,7 +220,7 @@
             *member == self.local
                 || now.since(assigner.peer(now, member).responded_at) < MEMBER_TIMEOUT
         });
-        if members != self.state.members {
+        if !members.iter().eq(self.state.members.get().values()) {
             report(
                 Event::MembersChanged,
                 format_args!(
@@ -208,8 +229,9 @@
                     self.registered_members.len()
                 ),
             );
-            self.state.members = members;
-            self.state.versions.members = self.next_version(self.state.versions.members);
+            let version = self.next_version(self.state.members.version());
+            let members = members.into_iter().map(|member| (member.instance.clone(), member));
+            self.state.members.set(version, members.collect());
             self.state.publish(&self.cx);
         }
     }
@@ -218,7 +240,7 @@
     /// stalled one soon: as the assigner, as one of a few other daemons, or without contact with an
     /// assigner.
     pub(super) fn watches_config_closely(&self) -> bool {
-        let position = self.state.members.iter().position(|member| *member == self.local);
+        let position = self.state.members.get().values().position(|member| *member == self.local);
         matches!(self.role, Role::Assigner(_))
             || !self.assigner_reachable
             || position.is_none_or(|position| position < SHORT_CONFIG_WATCH_COUNT)
@@ -230,16 +252,17 @@
         let ElectionOutcome::Won { term_lease, table } = outcome else { return };
         match Assigner::new(&self.cx, self.started_at, term_lease, table, &self.state) {
             Ok(mut assigner) if !self.cx.is_stopping() => {
-                assigner.wait_for_servers(self.servers_settle_at);
+                assigner.wait_for_servers(self.state.registry.settles_at());
                 self.term = term_lease.term.0;
                 report(Event::TermWon, format_args!("term={}", self.term));
-                // Versions of the new term, so that the peers get these parts again.
-                self.state.versions.servers = self.next_version(TermVersion::default());
-                self.state.versions.members = self.next_version(TermVersion::default());
+                // A version of the new term, so that the peers get what they lack.
+                let version = self.next_version(TermVersion::default());
+                self.state.members.set_version(version);
+                self.state.routes.set_version(version);
                 self.role = Role::Assigner(Box::new(assigner));
                 // The members known from the previous assigner, until the registered ones have been
                 // read.
-                self.registered_members = self.state.members.clone();
+                self.registered_members = self.state.members.get().values().cloned().collect();
                 self.tick(control);
             }
             Ok(_) => self.revoke_lease(term_lease.lease),
@@ -285,10 +308,10 @@
                 }
             }
             Input::StoredTable(bytes) => {
-                let is_initial = self.state.versions.routes == TermVersion::default();
+                let is_initial = self.state.routes.version() == TermVersion::default();
                 match serde_json::from_slice::<AssignmentTable>(&bytes) {
                     Ok(table) if is_initial => {
-                        self.state.routes = table.routes();
+                        self.state.set_routes(TermVersion::default(), table.routes());
                         self.state.publish(&self.cx);
                         self.update_readiness();
                     }
@@ -301,22 +324,12 @@
                 }
             }
             Input::ServersNotWatched => self.watching_servers = false,
-            Input::Servers { read_at, list, settles_at } => {
+            Input::Servers { read_at, registry } => {
                 self.watching_servers = true;
-                self.servers_settle_at = settles_at;
-                let changed = self.state.merge_servers(&self.cx, read_at, "store", list);
-                match &mut self.role {
-                    Role::Assigner(assigner) => {
-                        assigner.wait_for_servers(settles_at);
-                        assigner.on_servers(now, &self.state, changed);
-                        if changed {
-                            let version = self.state.versions.servers;
-                            self.state.versions.servers = self.next_version(version);
-                        }
-                    }
-                    // Resetting the version makes the assigner send its list again once there is
-                    // contact.
-                    _ => self.state.versions.servers = TermVersion::default(),
+                let changed = self.state.merge_registry(&self.cx, read_at, registry);
+                if let Role::Assigner(assigner) = &mut self.role {
+                    assigner.wait_for_servers(self.state.registry.settles_at());
+                    assigner.on_servers(now, &self.state, changed);
                 }
                 if changed {
                     self.state.publish(&self.cx);
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -1,14 +1,16 @@
 use {
     crate::{
         connection::Backends,
-        control::message::{Member, ServerList, TermVersion, Versions},
+        control::message::{Member, Route, RouteKey, SyncMessage, Versions},
         process::Shared,
         version::{View, ViewParts},
     },
     bytes::Bytes,
-    oriolehoist_keyspace::KeyRoutes,
+    oriolehoist_keyspace::{KeyRoutes, RoutedRange},
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{Configuration, RegisteredServer, ServerState},
+    oriolehoist_port::{Configuration, KeyRange, RegisteredServer, Revision, ServerState},
+    oriolehoist_registry::{Registry, RegistryVersion},
+    oriolehoist_replica::{MapUpdate, ReplicatedMap, TermVersion},
     oriolehoist_time::Millis,
     smol_str::SmolStr,
     std::{
@@ -26,33 +28,54 @@
 #[derive(Default)]
 pub(crate) struct ClusterState {
     pub(crate) config: Option<Arc<Configuration>>,
+    /// The version of the configuration, or zero.
+    pub(crate) config_version: u64,
     /// The configuration as written by the operators, for peers that lack it.
     pub(crate) config_bytes: Bytes,
-    pub(crate) servers: ServerList,
-    /// The latest time at which the server list is known to have matched the store.
+    /// When the configuration was applied.
+    pub(crate) config_applied_at: Millis,
+    pub(crate) registry: Registry,
+    /// The servers according to the registry.
+    pub(crate) servers: Vec<RegisteredServer>,
+    servers_version: RegistryVersion,
+    /// When the servers change next without a change of the registry.
+    servers_expire_at: Option<Millis>,
+    /// The latest time at which the registry is known to have matched the store.
     pub(crate) servers_fresh_at: Millis,
-    pub(crate) routes: BTreeMap<SmolStr, KeyRoutes>,
-    pub(crate) members: Vec<Member>,
-    pub(crate) versions: Versions,
+    pub(crate) routes: ReplicatedMap<RouteKey, Route>,
+    /// The same routes by service.
+    key_routes: BTreeMap<SmolStr, KeyRoutes>,
+    pub(crate) members: ReplicatedMap<SmolStr, Member>,
     backends: Backends,
 }
 
 impl ClusterState {
+    /// Returns the versions of all parts.
+    pub(crate) fn versions(&self) -> Versions {
+        Versions {
+            config: self.config_version,
+            servers: self.servers_version,
+            routes: self.routes.version(),
+            members: self.members.version(),
+        }
+    }
+
     /// Applies a configuration if it is newer. Returns whether it was.
     pub(crate) fn merge_config(&mut self, cx: &Shared, bytes: &Bytes) -> bool {
         if *bytes == self.config_bytes {
             return false;
         }
         match cx.platform.decode_configuration(bytes) {
-            Ok(config) if config.version > self.versions.config => {
+            Ok(config) if config.version > self.config_version => {
                 let (version, routes) = (config.version, config.routes.len());
                 report(
                     Event::SettingsInForce,
                     format_args!("version={version:08x} routes={routes}"),
                 );
-                self.versions.config = version;
+                self.config_version = version;
                 self.config = Some(Arc::new(config));
                 self.config_bytes = bytes.clone();
+                self.config_applied_at = cx.clock.now();
                 true
             }
             Ok(_) => false,
@@ -63,103 +86,158 @@
         }
     }
 
-    /// Applies a server list unless it is older. Returns whether the servers changed.
-    ///
-    /// `read_at` is the latest time at which the list is known to have matched the store, and
-    /// `source` is where it comes from, for the log.
-    pub(crate) fn merge_servers(
+    /// Applies registrations that this daemon has read from the store with a request sent at
+    /// `read_at`, unless they are older. Returns whether the servers changed.
+    pub(crate) fn merge_registry(
         &mut self,
         cx: &Shared,
         read_at: Millis,
-        source: &str,
-        list: ServerList,
+        registry: Registry,
     ) -> bool {
-        if list.revision < self.servers.revision {
+        if registry.revision() < self.registry.revision() {
             return false;
         }
-        let confirmed_at = self.servers_fresh_at;
+        self.registry = registry;
+        let changed = self.refresh_servers(cx, "store");
         self.confirm_servers(cx, read_at);
-        let changed = list.servers != self.servers.servers;
-        if changed {
-            let is_draining = |entry: &&RegisteredServer| entry.state == ServerState::Draining;
-            let text = format_args!(
-                "revision={} servers={} leaving={} from={source} age_ms={}",
-                list.revision,
-                list.servers.len(),
-                list.servers.iter().filter(is_draining).count(),
-                cx.clock.now().since(self.servers_fresh_at).0,
-            );
-            report(Event::ServersChanged, text);
-            self.report_draining(cx, confirmed_at, source, &list);
+        changed
+    }
+
+    /// Applies the assigner's changes of the registrations, if there are any, and records whether
+    /// this daemon now has the same ones as the assigner. Returns whether the servers changed.
+    pub(crate) fn merge_registry_changes(&mut self, cx: &Shared, sync: &mut SyncMessage) -> bool {
+        let now = cx.clock.now();
+        let sent = sync.versions.servers;
+        let mut changed = false;
+        if let Some(changes) = sync.servers.take() {
+            let matches = self.registry.apply(now, changes);
+            changed = self.refresh_servers(cx, &sync.from.instance);
+            if !matches && self.registry.revision() <= sent.revision {
+                // Without a revision the next message contains all registrations.
+                self.servers_version.revision = Revision::default();
+            }
+        }
+        if self.servers_version.digest == sent.digest {
+            self.registry.advance(sent.revision);
+            self.servers_version.revision = self.registry.revision();
+            self.confirm_servers(cx, now.since(sync.servers_age));
         }
-        self.servers = list;
         changed
     }
 
-    /// Records that the server list matched the store at `read_at`.
+    /// Records that the registrations matched the store at `read_at`.
     pub(crate) fn confirm_servers(&mut self, cx: &Shared, read_at: Millis) {
         self.servers_fresh_at = self.servers_fresh_at.max(read_at);
         cx.set_servers_confirmed_at(self.servers_fresh_at);
     }
 
-    /// Logs the servers that drain in one of the known list, last confirmed at `confirmed_at`, and
-    /// the new `list`, but not in both.
-    fn report_draining(&self, cx: &Shared, confirmed_at: Millis, source: &str, list: &ServerList) {
-        let states = |list: &ServerList| -> HashMap<(SmolStr, u64), bool> {
-            let servers = list.servers.iter();
-            let state = |server: &RegisteredServer| server.state == ServerState::Draining;
-            servers.map(|server| ((server.id.clone(), server.started_at), state(server))).collect()
-        };
-        let known = states(&self.servers);
-        for ((id, started_at), draining) in states(list) {
-            let known = known.get(&(id.clone(), started_at)).copied();
-            if known.unwrap_or(false) == draining {
+    /// Updates the servers if they change by the passing of time. Returns whether they did.
+    pub(crate) fn expire_servers(&mut self, cx: &Shared) -> bool {
+        let due = self.servers_expire_at.is_some_and(|at| at <= cx.clock.now());
+        due && self.refresh_servers(cx, "time")
+    }
+
+    /// Updates the servers from the registry. Returns whether they changed.
+    fn refresh_servers(&mut self, cx: &Shared, source: &str) -> bool {
+        let now = cx.clock.now();
+        self.registry.drop_removed(now);
+        self.servers_expire_at = self.registry.next_change_after(now);
+        self.servers_version = self.registry.version();
+        let servers = self.registry.servers(now);
+        if servers == self.servers {
+            return false;
+        }
+        let is_draining = |entry: &&RegisteredServer| entry.state == ServerState::Draining;
+        let text = format_args!(
+            "revision={} servers={} leaving={} from={source} age_ms={}",
+            self.registry.revision(),
+            servers.len(),
+            servers.iter().filter(is_draining).count(),
+            now.since(self.servers_fresh_at).0,
+        );
+        report(Event::ServersChanged, text);
+        let known = std::mem::replace(&mut self.servers, servers);
+        self.report_draining(cx, source, &known);
+        true
+    }
+
+    /// Logs the servers that drain now or drained among the `known` ones, but not both.
+    fn report_draining(&self, cx: &Shared, source: &str, known: &[RegisteredServer]) {
+        let known: HashMap<_, _> =
+            known.iter().map(|server| ((&server.id, server.started_at), server.state)).collect();
+        for server in &self.servers {
+            let was = known.get(&(&server.id, server.started_at)).copied();
+            if was.unwrap_or(ServerState::Ready) == server.state {
                 continue;
             }
-            let ready_ms = match known {
-                Some(false) => cx.clock.now().since(confirmed_at).0 as i64,
+            let ready_ms = match was {
+                Some(ServerState::Ready) => cx.clock.now().since(self.servers_fresh_at).0 as i64,
                 _ => -1,
             };
-            let revision = list.revision;
+            let (id, revision) = (&server.id, self.registry.revision());
+            let draining = server.state == ServerState::Draining;
             report(
                 Event::ServerDraining,
                 format_args!(
-                    "server={id} draining={draining} revision={revision} from={source} ready_ms={ready_ms}"
+                    "server={id} draining={draining} revision={revision} from={source} \
+                     ready_ms={ready_ms}"
                 ),
             );
         }
     }
 
-    /// Applies the routes if their version is higher. Returns whether it was.
-    pub(crate) fn merge_routes(
+    /// Replaces the routes by a new version.
+    pub(crate) fn set_routes(
         &mut self,
         version: TermVersion,
-        routes: BTreeMap<SmolStr, KeyRoutes>,
-    ) -> bool {
-        if version <= self.versions.routes {
+        key_routes: BTreeMap<SmolStr, KeyRoutes>,
+    ) {
+        let routed = key_routes.iter().flat_map(|(service, routes)| {
+            routes.0.iter().map(|routed| {
+                let route = (routed.range.last, routed.holder.clone());
+                ((service.clone(), routed.range.first), route)
+            })
+        });
+        self.routes.set(version, routed.collect());
+        self.key_routes = key_routes;
+    }
+
+    /// Applies an update of the routes if it leads to a later version. Returns whether it did.
+    pub(crate) fn merge_routes(&mut self, update: MapUpdate<RouteKey, Route>) -> bool {
+        if !self.routes.apply(update) {
             return false;
         }
-        self.versions.routes = version;
-        self.routes = routes;
+        self.key_routes.clear();
+        for ((service, first), (last, holder)) in self.routes.get() {
+            let range = KeyRange { first: *first, last: *last };
+            let routed = RoutedRange { range, holder: holder.clone() };
+            self.key_routes.entry(service.clone()).or_default().0.push(routed);
+        }
         true
     }
 
+    /// Returns the routes by service.
+    pub(crate) fn key_routes(&self) -> &BTreeMap<SmolStr, KeyRoutes> {
+        &self.key_routes
+    }
+
     /// Returns whether this daemon can serve requests: it has a configuration, and every sharded
     /// service has routes.
     pub(crate) fn can_serve(&self) -> bool {
         let Some(config) = &self.config else { return false };
-        let assigned =
-            |service: &SmolStr| self.routes.get(service).is_some_and(|routes| !routes.is_empty());
+        let assigned = |service: &SmolStr| {
+            self.key_routes.get(service).is_some_and(|routes| !routes.is_empty())
+        };
         config.services.iter().all(|(name, spec)| !spec.sharded || assigned(name))
     }
 
     /// Publishes a new view for the request path.
     pub(crate) fn publish(&mut self, cx: &Shared) {
         let Some(config) = &self.config else { return };
-        let backends = self.backends.update(cx.source_ip(), cx.clock, &self.servers.servers);
-        let daemon_count = self.members.len();
+        let backends = self.backends.update(cx.source_ip(), cx.clock, &self.servers);
+        let daemon_count = self.members.get().len();
         let mut services: HashMap<SmolStr, Vec<_>> = HashMap::new();
-        for entry in &self.servers.servers {
+        for entry in &self.servers {
             let Some(backend) = backends.get(&entry.id) else { continue };
             if let Some(spec) = config.services.get(&entry.service) {
                 let limit = f64::from(spec.max_connections) * CONNECTION_FRACTION
@@ -171,19 +249,19 @@
             }
         }
         let config = Arc::clone(config);
-        let peer_addresses = self.members.iter().map(|member| member.address);
+        let peer_addresses = self.members.get().values().map(|member| member.address);
         let peer_addresses =
             peer_addresses.filter(|peer| *peer != cx.bootstrap.peer_address).collect();
-        let version = self.versions.routes;
+        let version = self.routes.version();
         let view = View::from(ViewParts {
             config,
             backends,
             services,
-            key_routes: self.routes.clone(),
+            key_routes: self.key_routes.clone(),
             daemon_count,
             peer_addresses,
             routes_version: format!("{}.{}", version.term, version.count),
-            servers_revision: self.servers.revision.0,
+            servers_revision: self.registry.revision().0,
         });
         cx.view.publish(view);
     }
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -6,6 +6,8 @@
         message::{SyncMessage, SyncResponse},
     },
     oriolehoist_log::{Event, report},
+    oriolehoist_port::Revision,
+    oriolehoist_replica::TermVersion,
     oriolehoist_time::Millis,
 };
 
@@ -25,35 +27,26 @@
             // A resigning assigner counts as lost at once, so that an election does not wait for
             // the timeout.
             self.assigner_seen_at = if sync.resigning { Millis::ZERO } else { now };
-            self.apply_sync(now, sync);
+            self.apply_sync(sync);
         }
         SyncResponse {
             term: self.term,
-            versions: self.state.versions,
+            versions: self.state.versions(),
             config: None,
             load: self.cx.take_load_reports(),
         }
     }
 
-    fn apply_sync(&mut self, now: Millis, sync: SyncMessage) {
-        let mut changed = false;
+    fn apply_sync(&mut self, mut sync: SyncMessage) {
+        let mut changed = self.state.merge_registry_changes(&self.cx, &mut sync);
         if let Some(bytes) = &sync.config {
             changed |= self.state.merge_config(&self.cx, bytes);
         }
-        let read_at = now.since(sync.servers_age);
-        if let Some(list) = sync.servers {
-            changed |= self.state.merge_servers(&self.cx, read_at, &sync.from.instance, list);
-            self.state.versions.servers = sync.versions.servers;
-        } else if self.state.versions.servers == sync.versions.servers {
-            self.state.confirm_servers(&self.cx, read_at);
+        if let Some(update) = sync.routes {
+            changed |= self.state.merge_routes(update);
         }
-        if let Some(routes) = sync.routes {
-            changed |= self.state.merge_routes(sync.versions.routes, routes);
-        }
-        if let Some(members) = sync.members {
-            changed |= self.state.members != members;
-            self.state.members = members;
-            self.state.versions.members = sync.versions.members;
+        if let Some(update) = sync.members {
+            changed |= self.state.members.apply(update);
         }
         if changed {
             self.state.publish(&self.cx);
@@ -67,13 +60,13 @@
         SyncMessage {
             from: self.local.clone(),
             term: self.term,
-            versions: state.versions,
+            versions: state.versions(),
             servers_age: self.now().since(state.servers_fresh_at),
             resigning: false,
             config: state.config.as_ref().map(|_| state.config_bytes.clone()),
-            servers: Some(state.servers.clone()),
-            routes: Some(state.routes.clone()),
-            members: Some(state.members.clone()),
+            servers: Some(state.registry.changes_since(self.now(), Revision::default())),
+            routes: Some(state.routes.update_since(TermVersion::default())),
+            members: Some(state.members.update_since(TermVersion::default())),
         }
     }
 }
--- a/crates/oriolehoist_edge/src/control/handlers.rs
+++ b/crates/oriolehoist_edge/src/control/handlers.rs
@@ -3,13 +3,18 @@
 use {
     crate::control::{
         actor::{Control, Role},
-        message::{Input, ServerList, SyncMessage, SyncResponse},
+        message::{Input, SyncMessage, SyncResponse},
     },
     kameo::message::{Context, Message},
     oriolehoist_port::StoreRequest,
+    oriolehoist_registry::Registry,
     std::time::Duration,
 };
 
+/// How many of the daemons, on average, send an assigner that lacks it the configuration with their
+/// next response.
+const CONFIG_SENDERS: usize = 2;
+
 /// Tells the daemon to hand over the assigner's role, and not to take it again.
 pub(crate) struct Stop;
 
@@ -56,7 +61,9 @@
     ) -> Self::Reply {
         let sender_config_version = sync.versions.config;
         let mut response = self.on_sync(sync);
-        if self.state.versions.config > sender_config_version {
+        // One of the daemons is enough, because a configuration may be large.
+        let is_chosen = fastrand::usize(0..self.state.members.get().len().max(1)) < CONFIG_SENDERS;
+        if self.state.config_version > sender_config_version && is_chosen {
             response.config = Some(self.state.config_bytes.clone());
         }
         ActorReply(response)
@@ -93,10 +100,10 @@
 }
 
 impl Message<GetServers> for Control {
-    type Reply = ActorReply<ServerList>;
+    type Reply = ActorReply<Registry>;
 
     async fn handle(&mut self, _: GetServers, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        ActorReply(self.state.servers.clone())
+        ActorReply(self.state.registry.clone())
     }
 }
 
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -3,13 +3,15 @@
 use {
     crate::control::store::StoreError,
     bytes::Bytes,
-    oriolehoist_keyspace::{KeyRoutes, LoadReport, OrderId, OrderOutcome},
-    oriolehoist_port::{RegisteredServer, Revision, StoreResponse},
+    oriolehoist_keyspace::{Holder, LoadReport, OrderId, OrderOutcome},
+    oriolehoist_port::{Revision, StoreResponse},
     oriolehoist_protocol::Incarnation,
+    oriolehoist_registry::{Registry, RegistryChanges, RegistryVersion},
+    oriolehoist_replica::{MapUpdate, TermVersion},
     oriolehoist_time::Millis,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::net::SocketAddr,
 };
 
 /// A daemon of the cluster, as registered in the store.
@@ -20,32 +22,22 @@
     pub(crate) address: SocketAddr,
 }
 
-/// The version of a part of the state: the assigner's term, and the number of changes in that term.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub(crate) struct TermVersion {
-    pub(crate) term: u64,
-    pub(crate) count: u64,
-}
-
 /// The version of each part of the state that a daemon has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Versions {
     pub(crate) config: u64,
-    pub(crate) servers: TermVersion,
+    pub(crate) servers: RegistryVersion,
     pub(crate) routes: TermVersion,
     pub(crate) members: TermVersion,
 }
 
-/// The registered servers at a revision of the store.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ServerList {
-    #[serde(rename = "at")]
-    pub(crate) revision: Revision,
-    pub(crate) servers: Vec<RegisteredServer>,
-}
+/// The key of a range in the replicated routes: its service and its first key.
+pub(crate) type RouteKey = (SmolStr, u16);
+/// The last key of a range, and the server that serves it.
+pub(crate) type Route = (u16, Holder);
 
-/// Sent by the assigner to every daemon a few times per second. Contains only the parts of the
-/// state that the receiver lacks.
+/// Sent by the assigner to every daemon regularly and after each change. Contains only what the
+/// receiver lacks.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct SyncMessage {
     pub(crate) from: Member,
@@ -56,9 +48,9 @@
     /// Whether the assigner is about to give up its role.
     pub(crate) resigning: bool,
     pub(crate) config: Option<Bytes>,
-    pub(crate) servers: Option<ServerList>,
-    pub(crate) routes: Option<BTreeMap<SmolStr, KeyRoutes>>,
-    pub(crate) members: Option<Vec<Member>>,
+    pub(crate) servers: Option<RegistryChanges>,
+    pub(crate) routes: Option<MapUpdate<RouteKey, Route>>,
+    pub(crate) members: Option<MapUpdate<SmolStr, Member>>,
 }
 
 /// The response to a [`SyncMessage`].
@@ -79,9 +71,8 @@
     Tick,
     /// A configuration was read from the store or received from a peer.
     Config(Bytes),
-    /// The servers were read from the store by a request sent at `read_at`. Until `settles_at`,
-    /// live servers may be missing.
-    Servers { read_at: Millis, list: ServerList, settles_at: Millis },
+    /// The servers were read from the store by a request sent at `read_at`.
+    Servers { read_at: Millis, registry: Registry },
     /// The stored table was read while this daemon was starting.
     StoredTable(Bytes),
     /// The servers are not being watched: reading them failed or is not needed.
--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -131,7 +131,7 @@
     cx.metrics.on_sync(bytes, response.is_some());
     if response.is_none() {
         let (peer, took) = (&to.instance, cx.clock.now().since(sent_at));
-        let revision = sync.servers.as_ref().map_or(0, |list| list.revision.0);
+        let revision = sync.versions.servers.revision;
         report(
             Event::SyncFailed,
             format_args!("to={peer} bytes={bytes} servers={revision} took_ms={}", took.0),
--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -1,12 +1,9 @@
 //! Reads the registered servers from the store.
 
 use {
-    crate::control::{
-        message::ServerList,
-        store::{StoreClient, StoreError},
-    },
+    crate::control::store::{StoreClient, StoreError},
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{Change, Item, Platform, StoreRequest, StoreResponse},
+    oriolehoist_port::{Change, Item, Platform, RegisteredServer, StoreRequest, StoreResponse},
     oriolehoist_registry::{Listing, Registration, Registry},
     oriolehoist_time::Millis,
     smol_str::SmolStr,
@@ -35,29 +32,21 @@
 }
 
 impl ServerReader {
-    /// Discards what was read before a pause, and continues from the server list that this daemon
-    /// has received in the meantime.
-    pub(crate) fn restart(&mut self, server_list: &ServerList) {
+    /// Discards what was read before a pause, and continues from what this daemon has received in
+    /// the meantime.
+    pub(crate) fn restart(&mut self, registry: Registry) {
         let malformed = std::mem::take(&mut self.malformed);
-        let servers = server_list.servers.iter().cloned();
-        let registry = Registry::from_servers(server_list.revision, servers);
         *self = ServerReader { registry, malformed, ..ServerReader::default() };
     }
 
-    /// Returns the time until which entries may be missing because the store was unavailable, or
-    /// zero if it was not.
-    pub(crate) fn settles_at(&self) -> Millis {
-        self.registry.settles_at()
-    }
-
     /// Reads all servers the first time, and after that waits for changes. Returns the current
-    /// list.
+    /// registrations.
     pub(crate) async fn read(
         &mut self,
         store: &StoreClient,
         platform: &dyn Platform,
         now: impl Fn() -> Millis,
-    ) -> Result<ServerList, StoreError> {
+    ) -> Result<Registry, StoreError> {
         let started_at = now();
         let result = match self.watching {
             false => self.list(store, platform, &now).await,
@@ -68,7 +57,10 @@
         };
         self.watching = result.is_ok();
         match result {
-            Ok(()) => Ok(self.current_list(now())),
+            Ok(()) => {
+                self.registry.drop_removed(now());
+                Ok(self.registry.clone())
+            }
             Err(error) => {
                 self.failing_since.get_or_insert(started_at);
                 Err(error)
@@ -185,7 +177,12 @@
         let Item { key, value, revision } = item;
         let id = server_id(platform, &key);
         let server = match platform.decode_server(&key, &value) {
-            Ok(server) => Some(server),
+            // Only whether a server was warming up matters, and only when it is first seen. A new
+            // value of the remaining time is not a change.
+            Ok(server) => Some(RegisteredServer {
+                warm_up_remaining: Millis(server.warm_up_remaining.0.min(1)),
+                ..server
+            }),
             Err(error) => {
                 if self.malformed.insert(id.clone()) {
                     report(Event::ServerMalformed, format_args!("key={key} error=\"{error}\""));
@@ -195,16 +192,6 @@
         };
         Registration { id, revision, server }
     }
-
-    fn current_list(&mut self, now: Millis) -> ServerList {
-        let mut servers = self.registry.servers(now);
-        // Only whether a server was warming up matters, and only when it is first seen. A new value
-        // of the remaining time is not a change of the list.
-        for server in &mut servers {
-            server.warm_up_remaining = Millis(server.warm_up_remaining.0.min(1));
-        }
-        ServerList { revision: self.registry.revision(), servers }
-    }
 }
 
 /// Returns the id of the server that is registered under `key`.
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -163,16 +163,15 @@
                 continue;
             }
             let platform = self.cx.platform.as_ref();
-            if idle && let Ok(ActorReply(server_list)) = self.control.ask(GetServers).await {
-                reader.restart(&server_list);
+            if idle && let Ok(ActorReply(registry)) = self.control.ask(GetServers).await {
+                reader.restart(registry);
             }
             idle = false;
             let read_at = self.cx.clock.now();
             let clock = self.cx.clock;
             match reader.read(&self.store, platform, || clock.now()).await {
-                Ok(list) => {
-                    let settles_at = reader.settles_at();
-                    self.send_input(Input::Servers { read_at, list, settles_at }).await;
+                Ok(registry) => {
+                    self.send_input(Input::Servers { read_at, registry }).await;
                     sleep(SERVERS_READ_INTERVAL).await;
                 }
                 Err(_) => {
--- a/crates/oriolehoist_registry/src/lib.rs
+++ b/crates/oriolehoist_registry/src/lib.rs
@@ -30,5 +30,5 @@
 
 pub use {
     listing::Listing,
-    registry::{Registration, Registry},
+    registry::{Registration, Registry, RegistryChanges, RegistryVersion},
 };
--- a/crates/oriolehoist_registry/src/registry.rs
+++ b/crates/oriolehoist_registry/src/registry.rs
@@ -2,8 +2,10 @@
     crate::Listing,
     oriolehoist_port::{RegisteredServer, Revision, ServerState},
     oriolehoist_time::Millis,
+    serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::collections::{BTreeMap, HashSet},
+    xxhash_rust::xxh3::Xxh3,
 };
 
 /// How long a server whose registration was removed is kept as draining, so that its keys can be
@@ -24,6 +26,52 @@
     pub server: Option<RegisteredServer>,
 }
 
+/// Identifies the content of a registry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegistryVersion {
+    /// The revision up to which all changes are included.
+    pub revision: Revision,
+    /// A digest of the registrations. It shows whether two registries have the same ones, also if
+    /// their revisions differ.
+    pub digest: u64,
+}
+
+/// The entries of a registry that changed since a revision.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RegistryChanges {
+    /// Whether these are all entries.
+    complete: bool,
+    /// The version that the changes lead to.
+    pub version: RegistryVersion,
+    /// For how long live servers may not have registered again.
+    settles_in: Millis,
+    entries: Vec<(SmolStr, Revision, EntryChange)>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum EntryChange {
+    Registered(RegisteredServer),
+    Malformed,
+    Removed { server: RegisteredServer, lapsed: bool },
+}
+
+impl RegistryChanges {
+    /// Returns whether these are all entries of the registry.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Returns the number of changed entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no entries changed.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum EntryState {
     Registered(RegisteredServer),
@@ -56,23 +104,23 @@
 }
 
 impl Registry {
-    /// Creates a registry from servers that were known at a revision of the store.
-    pub fn from_servers(
-        revision: Revision,
-        servers: impl IntoIterator<Item = RegisteredServer>,
-    ) -> Registry {
-        let entry = |server: RegisteredServer| {
-            (server.id.clone(), Entry { revision, state: EntryState::Registered(server) })
-        };
-        let entries = servers.into_iter().map(entry).collect();
-        Registry { revision, consistent_from: revision, entries, settles_at: Millis::ZERO }
-    }
-
     /// Returns the revision up to which all changes are included.
     pub fn revision(&self) -> Revision {
         self.revision
     }
 
+    /// Returns the version, which identifies the registrations.
+    pub fn version(&self) -> RegistryVersion {
+        let mut hasher = Xxh3::new();
+        let registered = |entry: &Entry| !matches!(entry.state, EntryState::Removed { .. });
+        for (id, entry) in self.entries.iter().filter(|(_, entry)| registered(entry)) {
+            hasher.update(id.as_bytes());
+            hasher.update(&[0]);
+            hasher.update(&entry.revision.0.to_le_bytes());
+        }
+        RegistryVersion { revision: self.revision, digest: hasher.digest() }
+    }
+
     /// Returns whether the entries match the store at [`Registry::revision`].
     pub fn is_consistent(&self) -> bool {
         self.revision >= self.consistent_from
@@ -95,11 +143,7 @@
         (self.revision, self.consistent_from) = (listing.first_revision(), listing.last_revision());
         let listed: HashSet<&SmolStr> =
             listing.registrations.iter().map(|entry| &entry.id).collect();
-        let missing: Vec<SmolStr> =
-            self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect();
-        for id in missing {
-            self.mark_removed(now, self.revision, &id);
-        }
+        self.remove_missing(now, self.revision, &listed);
         for registration in listing.registrations {
             self.insert(registration);
         }
@@ -119,18 +163,91 @@
         }
     }
 
+    /// Returns the entries that changed since `base`, for a daemon whose registry has that revision,
+    /// or all entries if it has none.
+    ///
+    /// An entry that was removed and dropped since is not among them. The digest of the version
+    /// then shows the receiver that it needs all entries.
+    pub fn changes_since(&self, now: Millis, base: Revision) -> RegistryChanges {
+        let complete = base == Revision::default();
+        let changed = self.entries.iter().filter(|(_, entry)| complete || entry.revision > base);
+        let entries = changed.map(|(id, entry)| {
+            let change = match &entry.state {
+                EntryState::Registered(server) => EntryChange::Registered(server.clone()),
+                EntryState::Malformed => EntryChange::Malformed,
+                EntryState::Removed { server, lapsed, .. } => {
+                    EntryChange::Removed { server: server.clone(), lapsed: *lapsed }
+                }
+            };
+            (id.clone(), entry.revision, change)
+        });
+        RegistryChanges {
+            complete,
+            version: self.version(),
+            settles_in: self.settles_at.since(now),
+            entries: entries.collect(),
+        }
+    }
+
+    /// Applies changes from another daemon's registry, unless this one has a later revision.
+    /// Returns whether it now has the registrations of the other one.
+    pub fn apply(&mut self, now: Millis, changes: RegistryChanges) -> bool {
+        let RegistryVersion { revision, digest } = changes.version;
+        if revision >= self.revision {
+            self.settles_at = self.settles_at.max(match changes.settles_in {
+                Millis::ZERO => Millis::ZERO,
+                settles_in => now + settles_in,
+            });
+            if changes.complete {
+                let listed: HashSet<&SmolStr> =
+                    changes.entries.iter().map(|entry| &entry.0).collect();
+                self.remove_missing(now, revision, &listed);
+            }
+            for (id, entry_revision, change) in changes.entries {
+                if self.is_newer(&id, entry_revision) {
+                    let state = match change {
+                        EntryChange::Registered(server) => EntryState::Registered(server),
+                        EntryChange::Malformed => EntryState::Malformed,
+                        EntryChange::Removed { server, lapsed } => {
+                            EntryState::Removed { server, at: now, lapsed }
+                        }
+                    };
+                    self.entries.insert(id, Entry { revision: entry_revision, state });
+                }
+            }
+            (self.revision, self.consistent_from) = (revision, revision);
+        }
+        self.version().digest == digest
+    }
+
+    /// Returns the next time at which the servers change without a change of a registration.
+    pub fn next_change_after(&self, now: Millis) -> Option<Millis> {
+        let changes = self.entries.values().filter_map(|entry| match entry.state {
+            EntryState::Removed { lapsed: true, .. } if now < self.settles_at => {
+                Some(self.settles_at)
+            }
+            EntryState::Removed { at, .. } => Some(at + REMOVED_RETENTION),
+            _ => None,
+        });
+        changes.min()
+    }
+
     /// Records that all changes up to `revision` have been applied.
     pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
     }
 
-    /// Returns the known servers. Servers whose registrations were removed count as draining for
-    /// some time, or as ready while they may register again.
-    pub fn servers(&mut self, now: Millis) -> Vec<RegisteredServer> {
+    /// Drops the servers whose registrations were removed some time ago.
+    pub fn drop_removed(&mut self, now: Millis) {
         self.entries.retain(|_, entry| match &entry.state {
             EntryState::Removed { at, .. } => now.since(*at) < REMOVED_RETENTION,
             _ => true,
         });
+    }
+
+    /// Returns the known servers. Servers whose registrations were removed count as draining until
+    /// they are dropped, or as ready while they may register again.
+    pub fn servers(&self, now: Millis) -> Vec<RegisteredServer> {
         let settled = now >= self.settles_at;
         let servers = self.entries.values().filter_map(|entry| match &entry.state {
             EntryState::Registered(server) => Some(server.clone()),
@@ -143,6 +260,14 @@
         servers.collect()
     }
 
+    fn remove_missing(&mut self, now: Millis, revision: Revision, listed: &HashSet<&SmolStr>) {
+        let missing: Vec<SmolStr> =
+            self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        for id in missing {
+            self.mark_removed(now, revision, &id);
+        }
+    }
+
     fn is_newer(&self, id: &SmolStr, revision: Revision) -> bool {
         self.entries.get(id).is_none_or(|entry| entry.revision < revision)
     }
--- a/crates/oriolehoist_registry/tests/registry.rs
+++ b/crates/oriolehoist_registry/tests/registry.rs
@@ -28,8 +28,18 @@
     Registration { id: id.into(), revision: Revision(revision), server: Some(server(id, state)) }
 }
 
+/// Returns a registry with these registrations, read at a revision.
+fn registry_of(revision: u64, registrations: impl IntoIterator<Item = Registration>) -> Registry {
+    let mut listing = Listing::default();
+    listing.add_page(Revision(revision), registrations);
+    let mut registry = Registry::default();
+    registry.replace(NOW, listing);
+    registry
+}
+
 /// Returns the state of each server by its id.
 fn states(registry: &mut Registry, now: Millis) -> BTreeMap<SmolStr, ServerState> {
+    registry.drop_removed(now);
     registry.servers(now).into_iter().map(|server| (server.id, server.state)).collect()
 }
 
@@ -65,13 +75,13 @@
 
 #[gtest]
 fn removed_servers_drain_for_a_while_and_may_return_after_an_outage() {
-    let mut registry = Registry::from_servers(Revision(3), [server("a", ServerState::Ready)]);
+    let mut registry = registry_of(3, [registration("a", 3, ServerState::Ready)]);
     registry.on_removed(NOW, &"a".into(), Revision(4));
     expect_that!(states(&mut registry, NOW)["a"], eq(ServerState::Draining));
     expect_that!(states(&mut registry, NOW + Millis(7_999)).len(), eq(1));
     expect_that!(states(&mut registry, NOW + Millis(8_000)).len(), eq(0));
 
-    let mut registry = Registry::from_servers(Revision(3), [server("a", ServerState::Ready)]);
+    let mut registry = registry_of(3, [registration("a", 3, ServerState::Ready)]);
     registry.on_store_recovered(NOW);
     registry.replace(NOW, Listing::default());
     expect_that!(states(&mut registry, NOW + Millis(2_299))["a"], eq(ServerState::Ready));
@@ -80,6 +90,58 @@
     expect_that!(states(&mut registry, NOW + Millis(60_000))["a"], eq(ServerState::Ready));
 }
 
+#[gtest]
+fn a_change_of_one_server_is_sent_without_the_others() {
+    let all =
+        (0..300).map(|index| registration(&format!("s{index:03}"), 5 + index, ServerState::Ready));
+    let mut sender = registry_of(400, all);
+    let mut receiver = Registry::default();
+    let changes = sender.changes_since(NOW, receiver.revision());
+    expect_that!(changes.is_complete(), eq(true));
+    expect_that!(receiver.apply(NOW, changes), eq(true));
+
+    sender.on_registered(registration("s007", 401, ServerState::Draining));
+    sender.on_removed(NOW, &"s008".into(), Revision(402));
+    sender.advance(Revision(403));
+    let changes = sender.changes_since(NOW, receiver.revision());
+    expect_that!(changes.len(), eq(2));
+    expect_that!(receiver.apply(NOW, changes), eq(true));
+    expect_that!(receiver.version(), eq(sender.version()));
+    expect_that!(states(&mut receiver, NOW), eq(&states(&mut sender, NOW)));
+}
+
+#[gtest]
+fn a_daemon_that_missed_a_dropped_removal_gets_all_servers() {
+    let both = [registration("a", 1, ServerState::Ready), registration("b", 2, ServerState::Ready)];
+    let mut sender = registry_of(3, both);
+    let mut receiver = Registry::default();
+    receiver.apply(NOW, sender.changes_since(NOW, Revision::default()));
+    sender.on_removed(NOW, &"b".into(), Revision(4));
+    sender.advance(Revision(4));
+    sender.drop_removed(NOW + Millis(9_000));
+    let matches = receiver.apply(NOW, sender.changes_since(NOW, receiver.revision()));
+    expect_that!(matches, eq(false));
+    expect_that!(receiver.apply(NOW, sender.changes_since(NOW, Revision::default())), eq(true));
+    expect_that!(states(&mut receiver, NOW)["b"], eq(ServerState::Draining));
+    expect_that!(states(&mut receiver, NOW + Millis(9_000)).contains_key("b"), eq(false));
+}
+
+#[gtest]
+fn a_lapsed_registration_counts_as_ready_at_all_daemons_until_it_settles() {
+    let mut sender = registry_of(3, [registration("a", 1, ServerState::Ready)]);
+    let mut receiver = Registry::default();
+    receiver.apply(NOW, sender.changes_since(NOW, Revision::default()));
+    sender.on_store_recovered(NOW);
+    sender.on_removed(NOW + Millis(100), &"a".into(), Revision(4));
+    sender.advance(Revision(4));
+    // The receiver's clock shows another time.
+    let (sent_at, received_at) = (NOW + Millis(300), Millis(50_000));
+    expect_that!(receiver.apply(received_at, sender.changes_since(sent_at, Revision(3))), eq(true));
+    expect_that!(receiver.servers(received_at + Millis(1_999))[0].state, eq(ServerState::Ready));
+    expect_that!(receiver.next_change_after(received_at), some(eq(received_at + Millis(2_000))));
+    expect_that!(receiver.servers(received_at + Millis(2_000))[0].state, eq(ServerState::Draining));
+}
+
 /// The entries of a store that changes at random, and the changes themselves.
 #[derive(Default)]
 struct Store {
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -177,6 +177,11 @@
         self.register_at(&server.id, server.address, service, state);
     }
 
+    /// Registers a server that does not exist, for a service without routes.
+    pub fn register_unused(&self, index: u16, state: &str) {
+        self.register_at(&format!("unused-{index}"), self.address(1, 1), "unused", state);
+    }
+
     /// Updates a server's registration right after the next page of the servers that is not the
     /// last one.
     pub fn register_between_pages(&self, server: &Server, service: &str, state: &str) {
@@ -316,6 +321,11 @@
         self.child.is_some() && last("TermWon") > last("TermLost").max(last("Started:"))
     }
 
+    /// Returns whether the daemon was started and not killed or stopped.
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// Kills the daemon immediately.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/tests/users_platform/assigner.rs
+++ b/tests/users_platform/assigner.rs
@@ -12,6 +12,9 @@
     tokio::time::sleep,
 };
 
+/// The bytes that an assigner can send to each of 82 daemons within 500 ms, over a link of 10 Mbit/s.
+const MAX_BYTES_PER_DAEMON: u64 = 10_000_000 / 8 / 2 / 82;
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_go_on_being_served_when_the_assigner_is_killed() -> eyre::Result<()> {
@@ -190,3 +193,47 @@
     clean_up(deployment);
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_server_or_a_takeover_does_not_send_all_servers_to_every_daemon()
+-> eyre::Result<()> {
+    let mut deployment = deployment(4, 3, 1).await?;
+    for index in 0..300 {
+        deployment.register_unused(index, "ready");
+    }
+    sleep(SECOND * 2).await;
+    let before = sync_bytes(&deployment).await?;
+    deployment.register_unused(7, "draining");
+    sleep(SECOND / 2).await;
+    let sent = sync_bytes(&deployment).await? - before;
+    println!("a changed server: {sent} bytes to 3 daemons");
+    expect_that!(sent, le(3 * MAX_BYTES_PER_DAEMON));
+
+    let assigner = assigner_index(&deployment);
+    deployment.daemons[assigner].kill();
+    let mut waited = Duration::ZERO;
+    while !deployment.daemons.iter().any(Daemon::is_assigner) && waited < SECOND * 6 {
+        sleep(SECOND / 50).await;
+        waited += SECOND / 50;
+    }
+    sleep(SECOND / 2).await;
+    // The other daemons that are running have sent no messages so far.
+    let sent = sync_bytes(&deployment).await?;
+    println!("a takeover: {sent} bytes to 2 daemons");
+    expect_that!(sent, le(2 * MAX_BYTES_PER_DAEMON));
+    clean_up(deployment);
+    Ok(())
+}
+
+/// Returns the bytes that all running daemons have sent to each other so far.
+async fn sync_bytes(deployment: &Deployment) -> eyre::Result<u64> {
+    let mut bytes = 0;
+    for daemon in deployment.daemons.iter().filter(|daemon| daemon.is_running()) {
+        let metrics = daemon.metrics().await?;
+        let mut lines = metrics.lines();
+        let value = lines.find_map(|line| line.strip_prefix("oriolehoist_sync_bytes_total "));
+        bytes += value.unwrap_or("0").parse::<u64>()?;
+    }
+    Ok(bytes)
+}
