Derive the time-outs for the assigner's messages from their interval

Cause: with more than 70 daemons the interval between two messages to one (100 messages a second in all) exceeds the 700 ms after which a daemon gives the assigner up, and often the 900 ms after which it reads the servers from the store. Class: time-outs that are constants beside an interval that grows with the cluster. Now each message announces the interval, and the time-outs are added to it.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -19,12 +19,13 @@
     std::sync::{Arc, atomic::Ordering},
 };
 
-/// How long a daemon goes without contact with the assigner before it tries to take over the role.
-const ASSIGNER_TIMEOUT: Millis = Millis(700);
-/// The age at which the server list from the assigner is stale. The assigner confirms its list with
-/// each lease renewal and sends it with the next sync message, so the age normally stays below
-/// about 600 ms.
-const SERVERS_STALE_AFTER: Millis = Millis(900);
+/// How long after a sync message is due a daemon without contact with the assigner tries to take
+/// over the role.
+const ASSIGNER_TIMEOUT: Millis = Millis(500);
+/// The age at which the server list from the assigner is stale, in addition to the interval between
+/// sync messages. The assigner confirms its list with each lease renewal, and the next sync message
+/// passes that on.
+const SERVERS_STALE_AFTER: Millis = Millis(700);
 /// The maximum number of large sync messages in flight. Together they have to pass the link of a
 /// small instance before they time out.
 const MAX_BULK_SYNCS: usize = 2;
@@ -61,6 +62,8 @@
     /// When this daemon last had contact with the assigner.
     pub(super) assigner_seen_at: Millis,
     pub(super) assigner_reachable: bool,
+    /// The time within which the assigner sends the next message.
+    pub(super) sync_interval: Millis,
     pub(super) term: u64,
     /// Whether the last read of the servers succeeded and a watch is waiting for changes.
     watching_servers: bool,
@@ -89,6 +92,7 @@
             started_at: now,
             assigner_seen_at: Millis::ZERO,
             assigner_reachable: false,
+            sync_interval: SYNC_INTERVAL,
             term: 0,
             watching_servers: false,
         }
@@ -105,8 +109,8 @@
                 let rank = u64::from(
                     self.local.instance.bytes().map(u32::from).sum::<u32>() % ELECTION_RANKS,
                 );
-                let timed_out =
-                    now.since(self.assigner_seen_at) > ASSIGNER_TIMEOUT + ELECTION_STAGGER * rank;
+                let timed_out = now.since(self.assigner_seen_at)
+                    > self.sync_interval + ASSIGNER_TIMEOUT + ELECTION_STAGGER * rank;
                 if timed_out && self.assigner_reachable {
                     self.assigner_reachable = false;
                     report(Event::AssignerHeard, format_args!("heard=false term={}", self.term));
@@ -169,6 +173,7 @@
         let Role::Assigner(assigner) = &mut self.role else { return };
         let peers = self.registered_members.len() as u64;
         let interval = SYNC_INTERVAL.max(Millis(peers * 1000 / MAX_SYNCS_PER_SECOND));
+        self.sync_interval = interval;
         let state = &self.state;
         let mut bulk_count = assigner.peers.values().filter(|peer| peer.bulk_in_flight).count();
         for member in self.registered_members.iter().filter(|member| **member != self.local) {
@@ -182,6 +187,7 @@
                 from: self.local.clone(),
                 term: self.term,
                 versions: state.versions(),
+                interval,
                 servers_age: now.since(state.servers_fresh_at),
                 resigning,
                 config: None,
@@ -401,7 +407,8 @@
     /// Returns whether this daemon reads the servers from the store itself: as the assigner, or
     /// because the list from the assigner is stale.
     pub(super) fn reads_servers(&self) -> bool {
-        let stale = self.now().since(self.state.servers_fresh_at) > SERVERS_STALE_AFTER;
+        let stale_after = self.sync_interval + SERVERS_STALE_AFTER;
+        let stale = self.now().since(self.state.servers_fresh_at) > stale_after;
         matches!(self.role, Role::Assigner(_)) || stale
     }
 }
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -27,6 +27,7 @@
             // A resigning assigner counts as lost at once, so that an election does not wait for
             // the timeout.
             self.assigner_seen_at = if sync.resigning { Millis::ZERO } else { now };
+            self.sync_interval = sync.interval;
             self.apply_sync(sync);
         }
         SyncResponse {
@@ -61,6 +62,7 @@
             from: self.local.clone(),
             term: self.term,
             versions: state.versions(),
+            interval: self.sync_interval,
             servers_age: self.now().since(state.servers_fresh_at),
             resigning: false,
             config: state.config.as_ref().map(|_| state.config_bytes.clone()),
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -43,6 +43,8 @@
     pub(crate) from: Member,
     pub(crate) term: u64,
     pub(crate) versions: Versions,
+    /// The time within which the next message follows.
+    pub(crate) interval: Millis,
     /// The time since the server list was last confirmed by the store.
     pub(crate) servers_age: Millis,
     /// Whether the assigner is about to give up its role.
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -182,6 +182,16 @@
         self.register_at(&format!("unused-{index}"), self.address(1, 1), "unused", state);
     }
 
+    /// Registers a daemon that does not run, as the other daemons register themselves.
+    pub fn register_absent_daemon(&self, index: u16) {
+        let member = json!({
+            "instance": format!("absent-{index}"), "incarnation": 1,
+            "address": self.address(1, 1).to_string(),
+        });
+        let key = format!("oriolehoist/members/absent-{index}");
+        self.store.put(&key, member.to_string().as_bytes());
+    }
+
     /// Updates a server's registration right after the next page of the servers that is not the
     /// last one.
     pub fn register_between_pages(&self, server: &Server, service: &str, state: &str) {
--- a/tests/users_platform/assigner.rs
+++ b/tests/users_platform/assigner.rs
@@ -226,6 +226,27 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_of_a_large_cluster_do_not_take_the_assigner_for_lost() -> eyre::Result<()> {
+    let deployment = deployment(3, 3, 1).await?;
+    for index in 0..90 {
+        deployment.register_absent_daemon(index);
+    }
+    sleep(SECOND * 3).await;
+    let lost = |deployment: &Deployment| -> usize {
+        let logs = deployment.daemons.iter().map(Daemon::log);
+        logs.map(|log| log.matches("AssignerHeard: heard=false").count()).sum()
+    };
+    let (lost_before, requests_before) = (lost(&deployment), deployment.store.request_count());
+    sleep(SECOND * 8).await;
+    expect_that!(lost(&deployment) - lost_before, eq(0));
+    // The limit is 5 requests per second for all daemons together, for 8 s.
+    expect_that!(deployment.store.request_count() - requests_before, le(40));
+    clean_up(deployment);
+    Ok(())
+}
+
 /// Returns the bytes that all running daemons have sent to each other so far.
 async fn sync_bytes(deployment: &Deployment) -> eyre::Result<u64> {
     let mut bytes = 0;
