Count the drain period from when a server was last known to be ready

Callers saw: requests at a draining server after the end of its drain period, by daemons that had learned of it late: ones that had just started, were frozen or read the list themselves. Cause: each daemon counted the period from when it learned of the drain itself, less a margin of 900 ms for everything before. Class: an agreed time counted from the arrival of the news instead of the event. Now it is counted from the last time at which the daemon's list, then with the server ready, is known to have matched the store; a daemon that never knew the server as ready sends it nothing. The margin is left for what is bounded: 500 ms for the news of that state, and the sending.

--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -9,7 +9,7 @@
     http::{HeaderName, HeaderValue, Method},
     oriolehoist_admission::{InFlightOutcome, InFlightRequest, LoadEstimator},
     oriolehoist_keyspace::ServerIncarnation,
-    oriolehoist_port::{RegisteredServer, ServerState},
+    oriolehoist_port::RegisteredServer,
     oriolehoist_time::{Clock, Millis},
     smol_str::SmolStr,
     std::{
@@ -36,6 +36,8 @@
 const RESET_DETECTION_DELAY: Duration = Duration::from_millis(2);
 /// The service time that is assumed for a server that has not responded yet.
 const INITIAL_SERVICE_TIME: Millis = Millis(120);
+/// The value of a server's start of draining if it does not drain.
+const NOT_DRAINING: u64 = u64::MAX;
 /// A server that has just started is slower than normal by about this factor.
 const COLD_START_FACTOR: u64 = 2;
 
@@ -53,7 +55,7 @@
     load_estimator: Mutex<LoadEstimator>,
     /// The maximum number of connections that this daemon may open to the server.
     connection_limit: AtomicU32,
-    /// When the server was first known to be draining, or zero if it is not.
+    /// The earliest time at which the server may have started to drain, or [`NOT_DRAINING`].
     draining_since: AtomicU64,
     /// Held while a request that is suspected of crashing servers runs on this server.
     pub(crate) suspect_lock: tokio::sync::Mutex<()>,
@@ -69,7 +71,7 @@
         (&entry.id, entry.started_at).hash(&mut hasher);
         Backend {
             short_id: hasher.finish() as u32,
-            incarnation: ServerIncarnation { id: entry.id.clone(), started_at: entry.started_at },
+            incarnation: ServerIncarnation::of(entry),
             address: entry.address,
             zone: entry.zone.clone(),
             source,
@@ -77,7 +79,7 @@
             pool: IdlePool::default(),
             load_estimator: Mutex::new(LoadEstimator::new(entry.slots, service_time)),
             connection_limit: AtomicU32::new(entry.slots),
-            draining_since: AtomicU64::new(0),
+            draining_since: AtomicU64::new(NOT_DRAINING),
             suspect_lock: tokio::sync::Mutex::default(),
         }
     }
@@ -107,22 +109,17 @@
         self.connection_limit.store(limit.max(2), Ordering::Relaxed);
     }
 
-    /// Marks the server as draining. Later calls keep the time of the first one.
-    pub(crate) fn mark_draining(&self, now: Millis) {
-        // The exchange fails if an earlier time is already stored; that time is kept.
-        let _ =
-            self.draining_since.compare_exchange(0, now.0, Ordering::Relaxed, Ordering::Relaxed);
+    /// Sets the earliest time at which the server may have started to drain, or `None` if it does
+    /// not drain.
+    pub(crate) fn set_draining_since(&self, since: Option<Millis>) {
+        let since = since.map_or(NOT_DRAINING, |since| since.0);
+        self.draining_since.store(since, Ordering::Relaxed);
     }
 
-    /// Marks the server as not draining.
-    pub(crate) fn mark_ready(&self) {
-        self.draining_since.store(0, Ordering::Relaxed);
-    }
-
-    /// Returns for how long the server has been draining, or `None` if it is not.
+    /// Returns for how long the server may have been draining, or `None` if it is not.
     pub(crate) fn draining_for(&self, now: Millis) -> Option<Millis> {
         match self.draining_since.load(Ordering::Relaxed) {
-            0 => None,
+            NOT_DRAINING => None,
             since => Some(now.since(Millis(since))),
         }
     }
@@ -187,27 +184,24 @@
 }
 
 impl Backends {
-    /// Returns the backends for `entries` by server id, and drops all others.
+    /// Returns the backends for `entries` by server id, and drops all others. `draining_since`
+    /// contains the earliest time at which each draining one may have started to drain.
     pub(crate) fn update(
         &mut self,
         source: IpAddr,
         clock: Clock,
         entries: &[RegisteredServer],
+        draining_since: &HashMap<ServerIncarnation, Millis>,
     ) -> HashMap<SmolStr, Arc<Backend>> {
         let mut next = HashMap::new();
         let mut by_id = HashMap::new();
-        let now = clock.now();
         for entry in entries {
-            let key = (
-                ServerIncarnation { id: entry.id.clone(), started_at: entry.started_at },
-                entry.address,
-            );
+            let incarnation = ServerIncarnation::of(entry);
+            let draining_since = draining_since.get(&incarnation).copied();
+            let key = (incarnation, entry.address);
             let existing = self.by_incarnation.remove(&key);
             let backend = existing.unwrap_or_else(|| Arc::new(Backend::new(source, clock, entry)));
-            match entry.state {
-                ServerState::Ready => backend.mark_ready(),
-                ServerState::Draining => backend.mark_draining(now),
-            }
+            backend.set_draining_since(draining_since);
             by_id.insert(entry.id.clone(), Arc::clone(&backend));
             next.insert(key, backend);
         }
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -6,7 +6,7 @@
         version::{View, ViewParts},
     },
     bytes::Bytes,
-    oriolehoist_keyspace::{KeyRoutes, RoutedRange},
+    oriolehoist_keyspace::{KeyRoutes, RoutedRange, ServerIncarnation},
     oriolehoist_log::{Event, report},
     oriolehoist_port::{Configuration, KeyRange, RegisteredServer, Revision, ServerState},
     oriolehoist_registry::{Registry, RegistryVersion},
@@ -14,7 +14,7 @@
     oriolehoist_time::Millis,
     smol_str::SmolStr,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         sync::Arc,
     },
 };
@@ -40,6 +40,8 @@
     servers_version: RegistryVersion,
     /// When the servers change next without a change of the registry.
     servers_expire_at: Option<Millis>,
+    /// The earliest time at which each draining server may have started to drain.
+    draining_since: HashMap<ServerIncarnation, Millis>,
     /// The latest time at which the registry is known to have matched the store.
     pub(crate) servers_fresh_at: Millis,
     pub(crate) routes: ReplicatedMap<RouteKey, Route>,
@@ -157,32 +159,44 @@
         );
         report(Event::ServersChanged, text);
         let known = std::mem::replace(&mut self.servers, servers);
-        self.report_draining(cx, source, &known);
+        self.update_draining(cx, source, &known);
         true
     }
 
-    /// Logs the servers that drain now or drained among the `known` ones, but not both.
-    fn report_draining(&self, cx: &Shared, source: &str, known: &[RegisteredServer]) {
-        let known: HashMap<_, _> =
-            known.iter().map(|server| ((&server.id, server.started_at), server.state)).collect();
+    /// Updates since when servers may have been draining, and logs the changes. `known` are the
+    /// servers as of before.
+    ///
+    /// The drain period starts when the store accepts that a server drains. So it is counted from
+    /// when the server was last known to be ready; from long ago if it never was.
+    fn update_draining(&mut self, cx: &Shared, source: &str, known: &[RegisteredServer]) {
+        let ready: HashSet<ServerIncarnation> = known
+            .iter()
+            .filter(|server| server.state == ServerState::Ready)
+            .map(ServerIncarnation::of)
+            .collect();
+        let mut earlier = std::mem::take(&mut self.draining_since);
         for server in &self.servers {
-            let was = known.get(&(&server.id, server.started_at)).copied();
-            if was.unwrap_or(ServerState::Ready) == server.state {
-                continue;
-            }
-            let ready_ms = match was {
-                Some(ServerState::Ready) => cx.clock.now().since(self.servers_fresh_at).0 as i64,
-                _ => -1,
-            };
-            let (id, revision) = (&server.id, self.registry.revision());
+            let incarnation = ServerIncarnation::of(server);
+            let since = earlier.remove(&incarnation);
             let draining = server.state == ServerState::Draining;
-            report(
-                Event::ServerDraining,
-                format_args!(
-                    "server={id} draining={draining} revision={revision} from={source} \
-                     ready_ms={ready_ms}"
-                ),
-            );
+            if draining != since.is_some() {
+                let was_ready = ready.contains(&incarnation);
+                let ready_ms = was_ready.then(|| cx.clock.now().since(self.servers_fresh_at).0);
+                let ready_ms = ready_ms.map_or(-1, |millis| millis as i64);
+                let (id, revision) = (&server.id, self.registry.revision());
+                report(
+                    Event::ServerDraining,
+                    format_args!(
+                        "server={id} draining={draining} revision={revision} from={source} \
+                         ready_ms={ready_ms}"
+                    ),
+                );
+            }
+            if draining {
+                let start =
+                    if ready.contains(&incarnation) { self.servers_fresh_at } else { Millis::ZERO };
+                self.draining_since.insert(incarnation, since.unwrap_or(start));
+            }
         }
     }
 
@@ -234,7 +248,8 @@
     /// Publishes a new view for the request path.
     pub(crate) fn publish(&mut self, cx: &Shared) {
         let Some(config) = &self.config else { return };
-        let backends = self.backends.update(cx.source_ip(), cx.clock, &self.servers);
+        let backends =
+            self.backends.update(cx.source_ip(), cx.clock, &self.servers, &self.draining_since);
         let daemon_count = self.members.get().len();
         let mut services: HashMap<SmolStr, Vec<_>> = HashMap::new();
         for entry in &self.servers {
--- a/crates/oriolehoist_edge/src/request/select.rs
+++ b/crates/oriolehoist_edge/src/request/select.rs
@@ -22,8 +22,8 @@
 /// Random jitter that is added to the expected latency, in milliseconds, so that similar servers
 /// share the load.
 const RANDOM_JITTER_MS: u64 = 12;
-/// How long before the agreed end of its drain period a server stops getting requests, because its
-/// registration may have been read late.
+/// How long before the end of its drain period a server stops getting requests. It covers the time
+/// that the news of its last state was on its way, 500 ms at most, and the sending of the request.
 const DRAIN_MARGIN: Millis = Millis(900);
 
 /// The result of selecting a server.
--- a/crates/oriolehoist_keyspace/src/assigner.rs
+++ b/crates/oriolehoist_keyspace/src/assigner.rs
@@ -103,8 +103,7 @@
     ) {
         let mut present = Vec::new();
         for entry in registered {
-            let incarnation =
-                ServerIncarnation { id: entry.id.clone(), started_at: entry.started_at };
+            let incarnation = ServerIncarnation::of(entry);
             let index = self.get_or_insert_server(now, &incarnation, Millis::ZERO);
             present.push(index);
             let server = self.server_mut(index);
--- a/crates/oriolehoist_keyspace/src/table.rs
+++ b/crates/oriolehoist_keyspace/src/table.rs
@@ -1,6 +1,6 @@
 use {
     crate::{Holder, KeyRoutes, RoutedRange},
-    oriolehoist_port::KeyRange,
+    oriolehoist_port::{KeyRange, RegisteredServer},
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::collections::BTreeMap,
@@ -16,6 +16,13 @@
     pub started_at: u64,
 }
 
+impl ServerIncarnation {
+    /// Returns the incarnation that a registration names.
+    pub fn of(server: &RegisteredServer) -> ServerIncarnation {
+        ServerIncarnation { id: server.id.clone(), started_at: server.started_at }
+    }
+}
+
 /// A range with its owner, as kept in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AssignedRange {
--- a/tests/users_platform/servers.rs
+++ b/tests/users_platform/servers.rs
@@ -75,6 +75,34 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_learns_late_of_a_drain_does_not_start_the_period_anew() -> eyre::Result<()> {
+    // There is no other server that could take over the keys.
+    let mut deployment = deployment(3, 1, 1).await?;
+    let load = Load::start(caller_addresses(&deployment), "late-news")?;
+    sleep(SECOND).await;
+    let frozen = (assigner_index(&deployment) + 1) % 3;
+    let restarted = (assigner_index(&deployment) + 2) % 3;
+    deployment.daemons[frozen].set_frozen(true);
+    deployment.daemons[restarted].kill();
+    sleep(SECOND / 5).await;
+    let leaving = deployment.servers[0].clone();
+    deployment.register(&leaving, "keyed", "draining");
+    let announced = Instant::now();
+    sleep(SECOND * 6 / 5).await;
+    deployment.daemons[restarted].start()?;
+    deployment.daemons[frozen].set_frozen(false);
+    sleep(SECOND * 3).await;
+    let responses = load.finish().await;
+    check_invariants(&deployment, &responses);
+    let runs = deployment.executed_requests().into_iter().filter(|run| run.server == leaving.id);
+    let late = runs.filter(|run| run.started_at > announced + Duration::from_millis(2000));
+    expect_that!(late.count(), eq(0));
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_vanishes_hands_its_keys_over() -> eyre::Result<()> {
