Confirm the servers only while a watch waits for changes

Callers saw: nothing by itself; daemons took their list for up to 0.4 s newer than it was, and counted drain periods and the time until they read the servers themselves from that. Cause: a renewal of the lease confirmed the list whenever the last read had succeeded, also in the 200 ms between two reads, in which no watch waits and a change is not seen. Class: freshness that is inferred, not shown. Now a renewal counts only if a watch was sent before it and has not returned. A watch that returns without a change is sent again at once. As a renewal may now not count, the list is stale 200 ms later, but in time to learn of a drain before the drain period ends.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -9,6 +9,7 @@
             peers::send_sync,
         },
         process::Shared,
+        request::DRAIN_MARGIN,
     },
     kameo::{Actor, actor::ActorRef},
     oriolehoist_keyspace::AssignmentTable,
@@ -24,8 +25,8 @@
 const ASSIGNER_TIMEOUT: Millis = Millis(500);
 /// The age at which the server list from the assigner is stale, in addition to the interval between
 /// sync messages. The assigner confirms its list with each lease renewal, and the next sync message
-/// passes that on.
-const SERVERS_STALE_AFTER: Millis = Millis(700);
+/// passes that on. After a change no watch waits for 200 ms, so one renewal may not count.
+const SERVERS_STALE_AFTER: Millis = Millis(900);
 /// The maximum number of large sync messages in flight. Together they have to pass the link of a
 /// small instance before they time out.
 const MAX_BULK_SYNCS: usize = 2;
@@ -65,8 +66,8 @@
     /// The time within which the assigner sends the next message.
     pub(super) sync_interval: Millis,
     pub(super) term: u64,
-    /// Whether the last read of the servers succeeded and a watch is waiting for changes.
-    watching_servers: bool,
+    /// Since when a watch of the servers has been waiting for changes, if one has.
+    watching_since: Option<Millis>,
 }
 
 /// The role of this daemon in the cluster.
@@ -94,7 +95,7 @@
             assigner_reachable: false,
             sync_interval: SYNC_INTERVAL,
             term: 0,
-            watching_servers: false,
+            watching_since: None,
         }
     }
 
@@ -329,9 +330,9 @@
                     }
                 }
             }
-            Input::ServersNotWatched => self.watching_servers = false,
+            Input::ServersWatched(watched) => self.watching_since = watched.then_some(now),
             Input::Servers { read_at, registry } => {
-                self.watching_servers = true;
+                self.watching_since = None;
                 let changed = self.state.merge_registry(&self.cx, read_at, registry);
                 if let Role::Assigner(assigner) = &mut self.role {
                     assigner.wait_for_servers(self.state.registry.settles_at());
@@ -362,9 +363,9 @@
                 }
             }
             Input::LeaseRenewed { term, sent_at, response } => {
-                // The store is reachable, and a watch is waiting there that would have reported any
-                // change.
-                if response.is_ok() && self.watching_servers {
+                // The store is reachable, and a watch has been waiting there since before the
+                // renewal, which would have reported any change.
+                if response.is_ok() && self.watching_since.is_some_and(|since| since <= sent_at) {
                     self.state.confirm_servers(&self.cx, sent_at);
                 }
                 self.with_assigner_of_term(term, "the lease is no longer valid", |assigner| {
@@ -407,7 +408,9 @@
     /// Returns whether this daemon reads the servers from the store itself: as the assigner, or
     /// because the list from the assigner is stale.
     pub(super) fn reads_servers(&self) -> bool {
-        let stale_after = self.sync_interval + SERVERS_STALE_AFTER;
+        // A daemon that reads the servers itself must learn of a drain before the drain period ends.
+        let stale_after = (self.sync_interval + SERVERS_STALE_AFTER)
+            .min(self.cx.bootstrap.bounds.drain_period.since(DRAIN_MARGIN));
         let stale = self.now().since(self.state.servers_fresh_at) > stale_after;
         matches!(self.role, Role::Assigner(_)) || stale
     }
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -77,8 +77,9 @@
     Servers { read_at: Millis, registry: Registry },
     /// The stored table was read while this daemon was starting.
     StoredTable(Bytes),
-    /// The servers are not being watched: reading them failed or is not needed.
-    ServersNotWatched,
+    /// Whether a watch of the servers is about to be sent. None is if reading them failed or is not
+    /// needed.
+    ServersWatched(bool),
     /// The registered members were read from the store.
     Members(Vec<Member>),
     /// A peer responded to a [`SyncMessage`], or did not respond.
--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -4,7 +4,7 @@
     crate::control::store::{StoreClient, StoreError},
     oriolehoist_log::{Event, report},
     oriolehoist_port::{Change, Item, Platform, RegisteredServer, StoreRequest, StoreResponse},
-    oriolehoist_registry::{Listing, Registration, Registry},
+    oriolehoist_registry::{Listing, Registration, Registry, RegistryVersion},
     oriolehoist_time::Millis,
     smol_str::SmolStr,
     std::collections::HashSet,
@@ -39,6 +39,16 @@
         *self = ServerReader { registry, malformed, ..ServerReader::default() };
     }
 
+    /// Returns whether the next read waits for changes.
+    pub(crate) fn is_watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Returns the version of what was read.
+    pub(crate) fn version(&self) -> RegistryVersion {
+        self.registry.version()
+    }
+
     /// Reads all servers the first time, and after that waits for changes. Returns the current
     /// registrations.
     pub(crate) async fn read(
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -34,7 +34,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The delay before the configuration is read again after the store has discarded its history.
 const HISTORY_LOST_DELAY: Duration = Duration::from_millis(100);
-/// The delay between two reads of the servers, so that simultaneous changes are read together.
+/// The delay before the servers are read again after a change, so that simultaneous changes are
+/// read together.
 const SERVERS_READ_INTERVAL: Duration = Duration::from_millis(200);
 /// How often a reader that is not needed checks whether it has become needed.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -156,7 +157,7 @@
             let needed = self.store_read_plan().await.is_some_and(|plan| plan.reads_servers);
             if !needed {
                 if !idle {
-                    self.send_input(Input::ServersNotWatched).await;
+                    self.send_input(Input::ServersWatched(false)).await;
                     idle = true;
                 }
                 sleep(IDLE_POLL_INTERVAL).await;
@@ -169,13 +170,20 @@
             idle = false;
             let read_at = self.cx.clock.now();
             let clock = self.cx.clock;
+            let known = reader.version().digest;
+            if reader.is_watching() {
+                self.send_input(Input::ServersWatched(true)).await;
+            }
             match reader.read(&self.store, platform, || clock.now()).await {
                 Ok(registry) => {
+                    let changed = registry.version().digest != known;
                     self.send_input(Input::Servers { read_at, registry }).await;
-                    sleep(SERVERS_READ_INTERVAL).await;
+                    if changed {
+                        sleep(SERVERS_READ_INTERVAL).await;
+                    }
                 }
                 Err(_) => {
-                    self.send_input(Input::ServersNotWatched).await;
+                    self.send_input(Input::ServersWatched(false)).await;
                     sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/oriolehoist_edge/src/request/mod.rs
+++ b/crates/oriolehoist_edge/src/request/mod.rs
@@ -10,4 +10,5 @@
 pub(crate) use {
     refusal::CallerResponse,
     respond::{Request, respond},
+    select::DRAIN_MARGIN,
 };
--- a/crates/oriolehoist_edge/src/request/select.rs
+++ b/crates/oriolehoist_edge/src/request/select.rs
@@ -24,7 +24,7 @@
 const RANDOM_JITTER_MS: u64 = 12;
 /// How long before the end of its drain period a server stops getting requests. It covers the time
 /// that the news of its last state was on its way, 500 ms at most, and the sending of the request.
-const DRAIN_MARGIN: Millis = Millis(900);
+pub(crate) const DRAIN_MARGIN: Millis = Millis(900);
 
 /// The result of selecting a server.
 pub(crate) enum Selection {
--- a/tests/users_platform/servers.rs
+++ b/tests/users_platform/servers.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::load::*,
+    chrono::{DateTime, TimeDelta, Utc},
     googletest::prelude::*,
     oriolehoist_testkit::users_platform::*,
     reqwest::Method,
@@ -103,6 +104,38 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_servers_are_not_confirmed_for_a_time_after_a_change_that_was_not_read()
+-> eyre::Result<()> {
+    let deployment = deployment(2, 2, 1).await?;
+    let servers = 100..120;
+    for server in servers.clone() {
+        deployment.register_unused(server, "ready");
+    }
+    sleep(SECOND).await;
+    let mut announced = BTreeMap::new();
+    for server in servers {
+        // The next change is not read at once, because changes are read together.
+        deployment.register_unused(0, if server % 2 == 0 { "ready" } else { "draining" });
+        sleep(Duration::from_millis(40)).await;
+        announced.insert(format!("unused-{server}"), Utc::now());
+        deployment.register_unused(server, "draining");
+        sleep(Duration::from_millis(470)).await;
+    }
+    let log = deployment.daemons[assigner_index(&deployment)].log();
+    for (id, announced) in announced {
+        let event = format!("ServerDraining: server={id} draining=true");
+        let line = log.lines().find(|line| line.contains(&event)).unwrap_or_default();
+        let learned: DateTime<Utc> = line.split(' ').next().unwrap_or_default().parse()?;
+        let ready_ms = line.rsplit("ready_ms=").next().unwrap_or_default().parse()?;
+        let last_known_ready = learned - TimeDelta::milliseconds(ready_ms);
+        expect_that!(last_known_ready, le(announced), "{line}");
+    }
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_vanishes_hands_its_keys_over() -> eyre::Result<()> {
