Tell the daemons when the assigner's lease runs out

Callers saw: keys wait longer for a new assigner on a large cluster. Cause: an assigner that the store refuses goes on sending messages until its lease runs out, and the daemons then wait for the whole time-out, which now grows with the cluster; all messages to the daemons were in phase, so none noticed earlier.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -105,13 +105,14 @@
 
     fn tick(&mut self, control: &ActorRef<Control>) {
         let now = self.now();
+        let assigner_timeout = self.assigner_timeout();
         match &mut self.role {
             Role::Follower { next_election_at } => {
                 let rank = u64::from(
                     self.local.instance.bytes().map(u32::from).sum::<u32>() % ELECTION_RANKS,
                 );
-                let timed_out = now.since(self.assigner_seen_at)
-                    > self.sync_interval + ASSIGNER_TIMEOUT + ELECTION_STAGGER * rank;
+                let timed_out =
+                    now.since(self.assigner_seen_at) > assigner_timeout + ELECTION_STAGGER * rank;
                 if timed_out && self.assigner_reachable {
                     self.assigner_reachable = false;
                     report(Event::AssignerHeard, format_args!("heard=false term={}", self.term));
@@ -130,6 +131,7 @@
             }
             Role::Candidate => {}
             Role::Assigner(assigner) if !assigner.holds_lease(now) => {
+                self.sync_peers(control, true);
                 self.step_down("the lease could not be renewed");
             }
             Role::Assigner(assigner) => {
@@ -154,6 +156,12 @@
         self.update_readiness();
     }
 
+    /// Returns how long this daemon goes without a message from the assigner before it takes it for
+    /// lost.
+    pub(super) fn assigner_timeout(&self) -> Millis {
+        self.sync_interval + ASSIGNER_TIMEOUT
+    }
+
     pub(super) fn update_readiness(&self) {
         let ready = self.state.can_serve() && !self.cx.is_stopping();
         if self.cx.ready.swap(ready, Ordering::Relaxed) != ready {
@@ -213,7 +221,8 @@
                 continue;
             }
             peer.sync_in_flight = true;
-            peer.next_sync_at = now + interval;
+            // A random part keeps the messages to all peers from being sent at the same time.
+            peer.next_sync_at = now + Millis(fastrand::u64(interval.0 * 3 / 4..=interval.0));
             tokio::spawn(send_sync(Arc::clone(&self.cx), control.clone(), member.clone(), sync));
         }
     }
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -24,10 +24,11 @@
                 let (term, from) = (sync.term, &sync.from.instance);
                 report(Event::AssignerHeard, format_args!("heard=true term={term} from={from}"));
             }
+            self.sync_interval = sync.interval;
             // A resigning assigner counts as lost at once, so that an election does not wait for
             // the timeout.
-            self.assigner_seen_at = if sync.resigning { Millis::ZERO } else { now };
-            self.sync_interval = sync.interval;
+            let elapsed = if sync.resigning { self.assigner_timeout() } else { Millis::ZERO };
+            self.assigner_seen_at = now.since(elapsed);
             self.apply_sync(sync);
         }
         SyncResponse {
