Stop reading from busy connections during a planned stop

Callers saw: requests that were running when a daemon's planned stop ended were cut off. Cause: a stopping daemon closed a connection only once no request was in flight on it. A caller that pipelines requests keeps one in flight, and so the connection open until the process exits. Class: a limit that waits for an idle moment which need not come. Now, once the load balancer has noticed the stop, connections with requests in flight are read no further; the last response closes the connection, and unread input is discarded until the caller has closed it, as a reset could destroy that response. Before, in the new test: 7 executed requests without a response; now none. The other tests of requests and of planned stops pass.

--- a/crates/oriolehoist_edge/src/connection/callers.rs
+++ b/crates/oriolehoist_edge/src/connection/callers.rs
@@ -17,7 +17,7 @@
         net::{TcpListener, TcpStream},
         sync::watch,
         task::{AbortHandle, JoinHandle},
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
@@ -32,6 +32,9 @@
 const IDLE_MARGIN: Millis = Millis(1000);
 /// The idle timeout of connections while the daemon is shutting down.
 const SHUTDOWN_IDLE_TIMEOUT: Millis = Millis(1200);
+/// How long a connection that is closed while the daemon is shutting down still receives input. It
+/// covers the round trip to the caller.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often an idle connection checks whether the daemon is shutting down.
 const SHUTDOWN_POLL_INTERVAL: Millis = Millis(400);
 
@@ -113,6 +116,9 @@
     async fn run(mut self) {
         let mut in_flight = FuturesOrdered::new();
         loop {
+            // A caller that always has requests in flight would otherwise still send some when the
+            // process exits. Requests that are not read are sent again.
+            self.read_closed |= self.cx.may_close_connections() && !in_flight.is_empty();
             if self.buf.capacity() - self.buf.len() < MIN_READ_CAPACITY {
                 self.buf.reserve(MIN_READ_CAPACITY);
             }
@@ -134,7 +140,8 @@
                     let stopping = self.cx.is_stopping();
                     let no_unread_input = self.buf.is_empty() && self.partial.is_none();
                     let close = pending.close_after
-                        || (stopping && in_flight.is_empty() && no_unread_input);
+                        || (in_flight.is_empty()
+                            && (self.read_closed || stopping && no_unread_input));
                     let bytes = encode_response(
                         &pending.method,
                         response.status,
@@ -146,9 +153,12 @@
                     if !written {
                         return self.abort_idempotent();
                     }
-                    if close {
+                    if close && pending.close_after {
                         return;
                     }
+                    if close {
+                        return self.discard_input().await;
+                    }
                     self.idle_since = self.cx.clock.now();
                     if in_flight.is_empty() {
                         self.idempotent_tasks.clear();
@@ -254,7 +264,7 @@
         }
         let idle = self.cx.clock.now().since(self.idle_since);
         match self.cx.is_stopping() {
-            true => idle >= SHUTDOWN_IDLE_TIMEOUT && self.cx.may_close_idle(),
+            true => idle >= SHUTDOWN_IDLE_TIMEOUT && self.cx.may_close_connections(),
             false => idle >= self.cx.caller_limits().idle_timeout + IDLE_MARGIN,
         }
     }
@@ -278,6 +288,21 @@
         self.write(&bytes).await;
     }
 
+    /// Ends the output, and reads until the caller has closed the connection or a time-out has
+    /// passed. Closing it with unread input would reset it, which could destroy the last response.
+    async fn discard_input(mut self) {
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let read = async {
+            while matches!(self.stream.read_buf(&mut self.buf).await, Ok(read) if read > 0) {
+                self.buf.clear();
+            }
+        };
+        // After the time-out the response has been received, or the caller does not read.
+        let _ = timeout(DISCARD_TIMEOUT, read).await;
+    }
+
     /// Returns whether all bytes were written.
     async fn write(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).await.is_ok()
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -22,9 +22,9 @@
     tokio::sync::{Notify, broadcast},
 };
 
-/// How long after the shutdown request idle connections from callers stay open. By then the load
-/// balancer has stopped sending new requests.
-const IDLE_CLOSE_DELAY: Millis = Millis(2200);
+/// How long after the shutdown request connections from callers stay open. By then the load balancer
+/// has stopped sending new requests.
+const CLOSE_DELAY: Millis = Millis(2200);
 /// The fraction of the agreed retry budget that is used. The rest covers traffic that is unevenly
 /// distributed among the daemons.
 const RETRY_BUDGET_FACTOR: f64 = 0.7;
@@ -151,11 +151,11 @@
         self.caller_connections.load(Ordering::Relaxed)
     }
 
-    /// Returns whether idle connections may be closed: the load balancer has had time to notice
-    /// that this daemon is shutting down.
-    pub(crate) fn may_close_idle(&self) -> bool {
+    /// Returns whether connections may be closed: this daemon is shutting down, and the load
+    /// balancer has had time to notice.
+    pub(crate) fn may_close_connections(&self) -> bool {
         let since = Millis(self.stopping_since.load(Ordering::Relaxed));
-        self.clock.now().since(since) >= IDLE_CLOSE_DELAY
+        self.is_stopping() && self.clock.now().since(since) >= CLOSE_DELAY
     }
 
     /// Records a new request to a service, which earns a fraction of a retry.
--- a/tests/users_platform/requests.rs
+++ b/tests/users_platform/requests.rs
@@ -69,6 +69,49 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_always_has_a_request_in_flight_is_not_cut_by_a_planned_stop()
+-> eyre::Result<()> {
+    let mut deployment = deployment(2, 1, 2).await?;
+    let service_time = Duration::from_millis(700);
+    for server in &deployment.servers {
+        server.set_faults(ServerFaults { service_time, ..ServerFaults::default() });
+    }
+    let stream = TcpStream::connect(deployment.daemons[0].caller_address).await?;
+    let (mut input, mut output) = stream.into_split();
+    let sending = tokio::spawn(async move {
+        for index in 0..200 {
+            let text = format!(
+                "GET /p/{index} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: piped-{index}\r\n\
+                 x-deadline-ms: 1500\r\n\r\n"
+            );
+            if output.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+    let receiving = tokio::spawn(async move {
+        let mut text = String::new();
+        // An error ends the connection like the end of the input.
+        let _ = input.read_to_string(&mut text).await;
+        text
+    });
+    sleep(SECOND).await;
+    let status = deployment.daemons[0].stop().await?;
+    expect_that!(status.is_some_and(|status| status.success()), eq(true));
+    let text = receiving.await?;
+    sending.abort();
+    let executed = deployment.executed_requests();
+    expect_that!(executed.len(), ge(10));
+    let cut = executed.iter().filter(|run| !text.contains(&format!("{}\r\n", run.request_id)));
+    expect_that!(cut.count(), eq(0));
+    expect_that!(text.to_lowercase().matches("connection: close").count(), eq(1));
+    clean_up(deployment);
+    Ok(())
+}
+
 /// The required bound on how long it may take until a daemon knows what the others have learned.
 const PEER_SYNC_BOUND: Duration = Duration::from_millis(3000);
 
