Read the members of the cluster in pages, too

Callers saw: nothing yet; the store's pages hold 500 entries, and no deployment has as many daemons. With more, or shorter pages, a new assigner knows only the daemons of the first page, and the others get no routes from it. Cause: the members were read as one page, found when the cause of the draining servers was sought elsewhere. Now servers and members are listed by the same function, and the watch of the members continues from the first page, too, applying changes by their revision.

--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -125,20 +125,9 @@
     ) -> Result<Listing, StoreError> {
         let started_at = now();
         let mut listing = Listing::default();
-        let mut after: Option<String> = None;
-        loop {
-            let prefix = platform.servers_prefix().to_owned();
-            let request = StoreRequest::List { prefix, after };
-            let StoreResponse::Page { items, has_more, revision } = store.call(request).await?
-            else {
-                return Err(StoreError::Malformed);
-            };
-            after = items.last().map(|item| item.key.clone());
+        for (revision, items) in store.list(platform.servers_prefix()).await? {
             let registrations = items.into_iter().map(|item| self.decode(platform, item));
             listing.add_page(revision, registrations);
-            if !has_more || after.is_none() {
-                break;
-            }
         }
         let text = format_args!(
             "servers={} pages={} first={} last={} took_ms={}",
--- a/crates/oriolehoist_edge/src/control/store.rs
+++ b/crates/oriolehoist_edge/src/control/store.rs
@@ -5,7 +5,7 @@
     },
     derive_more::Display,
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{StoreRequest, StoreResponse},
+    oriolehoist_port::{Item, Revision, StoreRequest, StoreResponse},
     oriolehoist_time::Millis,
     std::sync::Arc,
 };
@@ -67,6 +67,28 @@
         response
     }
 
+    /// Reads all items under a prefix. Returns the pages, each with the store's revision when it was
+    /// read. There is at least one.
+    pub(crate) async fn list(
+        &self,
+        prefix: &str,
+    ) -> Result<Vec<(Revision, Vec<Item>)>, StoreError> {
+        let mut pages = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let request = StoreRequest::List { prefix: prefix.to_owned(), after };
+            let StoreResponse::Page { items, has_more, revision } = self.call(request).await?
+            else {
+                return Err(StoreError::Malformed);
+            };
+            after = items.last().map(|item| item.key.clone());
+            pages.push((revision, items));
+            if !has_more || after.is_none() {
+                return Ok(pages);
+            }
+        }
+    }
+
     async fn send(
         &self,
         request: &StoreRequest,
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -10,6 +10,7 @@
             message::{Input, Member},
             peers::{broadcast_suspects, fetch_cluster_state},
             servers::ServerReader,
+            store::StoreError,
         },
         process::Shared,
     },
@@ -192,7 +193,7 @@
 
     /// Reads the registered members while this daemon is the assigner.
     async fn follow_members(self) {
-        let mut members: BTreeMap<String, Member> = BTreeMap::new();
+        let mut members: BTreeMap<String, (Revision, Member)> = BTreeMap::new();
         let mut after = None;
         loop {
             if !self.store_read_plan().await.is_some_and(|plan| plan.reads_members) {
@@ -200,38 +201,66 @@
                 sleep(IDLE_POLL_INTERVAL).await;
                 continue;
             }
-            let prefix = MEMBERS_PREFIX.to_owned();
-            let request = match after {
-                None => StoreRequest::List { prefix, after: None },
-                Some(after) => StoreRequest::Watch { prefix, after, wait: MEMBERS_WATCH_TIMEOUT },
+            let result = match after {
+                None => self.list_members(&mut members).await,
+                Some(after) => self.watch_members(&mut members, after).await,
             };
-            match self.store.call(request).await {
-                Ok(StoreResponse::Page { items, revision: at, .. }) => {
-                    members.clear();
-                    members.extend(items.into_iter().filter_map(parse_member));
-                    after = Some(at);
-                }
-                Ok(StoreResponse::Changes { changes, revision: at }) => {
-                    for change in changes {
-                        match change {
-                            Change::Written(item) => members.extend(parse_member(item)),
-                            Change::Removed { key, .. } => drop(members.remove(&key)),
-                        }
-                    }
-                    after = Some(at.max(after.unwrap_or_default()));
-                }
-                Ok(_) => {
-                    after = None;
-                    continue;
-                }
+            after = match result {
+                Ok(revision) => Some(revision),
+                Err(StoreError::HistoryCompacted) => None,
                 Err(_) => {
-                    after = None;
                     sleep(RETRY_DELAY).await;
-                    continue;
+                    None
                 }
+            };
+            if after.is_some() {
+                let members = members.values().map(|(_, member)| member.clone()).collect();
+                self.send_input(Input::Members(members)).await;
+            }
+        }
+    }
+
+    /// Reads all members. Returns the revision from which a watch has to continue: that of the first
+    /// page, because the pages are not a snapshot.
+    async fn list_members(
+        &self,
+        members: &mut BTreeMap<String, (Revision, Member)>,
+    ) -> Result<Revision, StoreError> {
+        let pages = self.store.list(MEMBERS_PREFIX).await?;
+        let first_revision = pages.first().map(|page| page.0).unwrap_or_default();
+        members.clear();
+        members.extend(pages.into_iter().flat_map(|page| page.1).filter_map(parse_member));
+        Ok(first_revision)
+    }
+
+    /// Waits for changes of the members, and applies those that are not included yet. Returns the
+    /// revision from which the next watch has to continue.
+    async fn watch_members(
+        &self,
+        members: &mut BTreeMap<String, (Revision, Member)>,
+        after: Revision,
+    ) -> Result<Revision, StoreError> {
+        let prefix = MEMBERS_PREFIX.to_owned();
+        let request = StoreRequest::Watch { prefix, after, wait: MEMBERS_WATCH_TIMEOUT };
+        let (changes, revision) = match self.store.call(request).await? {
+            StoreResponse::Changes { changes, revision } => (changes, revision),
+            StoreResponse::HistoryCompacted => return Err(StoreError::HistoryCompacted),
+            _ => return Err(StoreError::Malformed),
+        };
+        for change in changes {
+            let (key, revision) = match &change {
+                Change::Written(item) => (&item.key, item.revision),
+                Change::Removed { key, revision } => (key, *revision),
+            };
+            if members.get(key).is_some_and(|(known, _)| *known >= revision) {
+                continue;
+            }
+            match change {
+                Change::Written(item) => members.extend(parse_member(item)),
+                Change::Removed { key, .. } => drop(members.remove(&key)),
             }
-            self.send_input(Input::Members(members.values().cloned().collect())).await;
         }
+        Ok(revision.max(after))
     }
 
     /// Registers this daemon as a member, and keeps the entry alive.
@@ -304,6 +333,7 @@
     }
 }
 
-fn parse_member(item: Item) -> Option<(String, Member)> {
-    serde_json::from_slice(&item.value).ok().map(|member| (item.key, member))
+fn parse_member(item: Item) -> Option<(String, (Revision, Member))> {
+    let member = serde_json::from_slice(&item.value).ok()?;
+    Some((item.key, (item.revision, member)))
 }
--- a/tests/users_platform/assigner.rs
+++ b/tests/users_platform/assigner.rs
@@ -35,6 +35,37 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_assigner_knows_all_daemons_although_the_store_lists_them_in_pages()
+-> eyre::Result<()> {
+    let mut deployment = deployment(5, 2, 1).await?;
+    deployment.store.set_page_size(2);
+    let lost = assigner_index(&deployment);
+    deployment.daemons[lost].kill();
+    sleep(SECOND * 5).await;
+    let assigner = assigner_index(&deployment);
+    let log = deployment.daemons[assigner].log();
+    let mut registered = log.lines().filter_map(|line| line.split_once(" registered="));
+    // The entry of the daemon that was killed is still there.
+    expect_that!(registered.next_back().map(|(_, count)| count), none().or(some(eq("5"))));
+    let load = Load::start(caller_addresses_without(&deployment, lost), "all")?;
+    sleep(SECOND).await;
+    deployment.register(&deployment.servers[0], "keyed", "draining");
+    sleep(SECOND).await;
+    for (index, daemon) in deployment.daemons.iter().enumerate().filter(|daemon| daemon.0 != lost) {
+        let from = format!("from=edge-{assigner}");
+        let learned = daemon.log().lines().any(|line| {
+            line.contains("ServerDraining: server=i-0 draining=true")
+                && (index == assigner || line.contains(&from))
+        });
+        expect_that!(learned, eq(true), "edge-{index}");
+    }
+    finish_and_check(&deployment, load, 0.99).await;
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_ended_leaves_the_members() -> eyre::Result<()> {
