Keep a leaving server out of use after it has vanished from the instance list

Callers saw, on the product's own interface: requests at a server that had been listed as leaving, once its entry was gone while it still ran. Cause: the set of leaving servers was rebuilt from each list, so a server that is not listed counted as live again. Class: a state that is lost with the entry that carried it. Now a server counts as leaving until it is listed as live.

--- a/crates/oriolehoist_daemon/src/control/peers.rs
+++ b/crates/oriolehoist_daemon/src/control/peers.rs
@@ -15,7 +15,7 @@
 /// How long the address of a peer that does not respond is kept.
 const PEER_EXPIRY: Millis = Millis::from_secs(600);
 
-/// The known peers, and the backend servers that the platform lists as leaving.
+/// The known peers, and the backend servers that the platform last listed as leaving.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     known: BTreeMap<SocketAddr, Peer>,
@@ -64,11 +64,13 @@
         let daemons = list.iter().filter(|i| i.role == InstanceRole::Entry);
         self.add_addresses(now, own_address, daemons.map(|i| i.address));
         self.list_read = true;
-        self.leaving_servers = list
-            .iter()
-            .filter(|i| i.role == InstanceRole::Server && i.state == InstanceState::Leaving)
-            .map(|i| ServerName(i.name.0.clone()))
-            .collect();
+        for server in list.iter().filter(|i| i.role == InstanceRole::Server) {
+            let name = ServerName(server.name.0.clone());
+            match server.state {
+                InstanceState::Leaving => drop(self.leaving_servers.insert(name)),
+                InstanceState::Live => drop(self.leaving_servers.remove(&name)),
+            }
+        }
     }
 
     /// Records a peer's response to `/hello`.
@@ -187,7 +189,8 @@
         counts
     }
 
-    /// Returns the backend servers that the platform lists as leaving.
+    /// Returns the backend servers that the platform last listed as leaving. Those that have vanished
+    /// from the list are among them: they have stopped, or will soon.
     pub(crate) fn leaving_servers(&self) -> &BTreeSet<ServerName> {
         &self.leaving_servers
     }
--- a/crates/oriolehoist_testkit/src/scenario/parse.rs
+++ b/crates/oriolehoist_testkit/src/scenario/parse.rs
@@ -120,6 +120,7 @@
         ["stop", rest @ ..] => Action::Stop(parse_selector(rest)?),
         ["roll", "daemons"] => Action::RollDaemons,
         ["list", "leaving", rest @ ..] => Action::ListLeaving(parse_selector(rest)?),
+        ["list", "without", rest @ ..] => Action::ListWithout(parse_selector(rest)?),
         ["drain", rest @ ..] => Action::Drain(parse_selector(rest)?),
         ["report", "draining", rest @ ..] => Action::ReportDraining(parse_selector(rest)?),
         ["misreport", rest @ ..] => Action::Misreport(parse_selector(rest)?),
--- a/crates/oriolehoist_testkit/src/scenario/run.rs
+++ b/crates/oriolehoist_testkit/src/scenario/run.rs
@@ -189,6 +189,12 @@
                         .set_state(&InstanceName(name), InstanceState::Leaving);
                 }
             }
+            Action::ListWithout(selector) => {
+                for index in self.select_servers(selector)? {
+                    let name = self.cluster.servers[index].target.server.0.clone();
+                    self.cluster.instance_list.remove(&InstanceName(name));
+                }
+            }
             Action::Drain(selector) => self.drain(selector).await?,
             Action::ReportDraining(selector) => {
                 for index in self.select_servers(selector)? {
--- a/crates/oriolehoist_testkit/src/scenario/script.rs
+++ b/crates/oriolehoist_testkit/src/scenario/script.rs
@@ -115,6 +115,8 @@
     RollDaemons,
     /// Marks servers as leaving in the instance list.
     ListLeaving(Selector),
+    /// Removes servers from the instance list, although they go on running.
+    ListWithout(Selector),
     /// Drains servers by a change of the settings.
     Drain(Selector),
     /// Makes servers report that they are draining.
--- a/crates/oriolehoist_testkit/src/standin/instance_list.rs
+++ b/crates/oriolehoist_testkit/src/standin/instance_list.rs
@@ -77,6 +77,13 @@
         self.set(instances);
     }
 
+    /// Removes an instance.
+    pub fn remove(&self, name: &InstanceName) {
+        let mut instances = self.current();
+        instances.retain(|i| i.name != *name);
+        self.set(instances);
+    }
+
     /// Returns the current list, without the delay.
     pub fn current(&self) -> Vec<Instance> {
         self.state.lock().last().map(|s| s.instances.clone()).unwrap_or_default()
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -55,6 +55,7 @@
     leaving_server_drained_by_an_operator
     leaving_server_on_the_list
     leaving_server_that_reports_it
+    leaving_server_that_vanishes_from_the_list
     not_run_when_nothing_listens
     not_run_when_overloaded
     not_run_when_owner_is_lost
