Don't call a request not run after an attempt that timed out

Cause: an idempotent request whose first attempt had timed out was tried again, and the refusal of that attempt, here by the full queue, was given for the whole request. Class: a promise about all attempts that is made from the last one. Now a refusal after an attempt that may have run says that the outcome is unknown.

--- a/crates/oriolehoist_daemon/src/request/forward.rs
+++ b/crates/oriolehoist_daemon/src/request/forward.rs
@@ -52,6 +52,23 @@
     cx: &Arc<DaemonContext>,
     parsed: &ParsedRequest,
     body: Bytes,
+) -> Result<ServerResponse, Refusal> {
+    let mut may_have_run = false;
+    let result = attempt_until_final(cx, parsed, body, &mut may_have_run).await;
+    result.map_err(|refusal| match may_have_run {
+        // An earlier attempt may have run, regardless of why the last one was refused.
+        true => Refusal { kind: RefusalKind::OutcomeUnknown, retry_after: None, ..refusal },
+        false => refusal,
+    })
+}
+
+/// Attempts a request until there is a response, or it can't be served. Sets `may_have_run` if an
+/// attempt ended without a response after it may have been sent.
+async fn attempt_until_final(
+    cx: &Arc<DaemonContext>,
+    parsed: &ParsedRequest,
+    body: Bytes,
+    may_have_run: &mut bool,
 ) -> Result<ServerResponse, Refusal> {
     let fingerprint = quarantine::fingerprint(parsed, &body);
     credit_retry_budget(cx, parsed);
@@ -63,6 +80,8 @@
         refuse_repeat_after_loss(parsed, &destination)?;
         let outcome =
             attempt_at_server(cx, parsed, &body, &destination, fingerprint, attempts).await?;
+        *may_have_run |=
+            matches!(outcome, ExchangeOutcome::TimedOut | ExchangeOutcome::Interrupted);
         let step = match outcome {
             ExchangeOutcome::Complete(response) => return Ok(response),
             failed => next_step(cx, parsed, &destination, fingerprint, &failed, attempts).await,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -56,6 +56,7 @@
     leaving_server_on_the_list
     leaving_server_that_reports_it
     leaving_server_that_vanishes_from_the_list
+    not_run_after_an_attempt_that_timed_out
     not_run_when_nothing_listens
     not_run_when_overloaded
     not_run_when_owner_is_lost
