--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -20,8 +20,8 @@
     std::sync::{Arc, atomic::Ordering},
 };
 
-/// How long after a sync message is due a daemon without contact with the assigner tries to take
-/// over the role.
+/// How long after the next sync message is due a daemon without contact with the assigner tries to
+/// take over the role.
 const ASSIGNER_TIMEOUT: Millis = Millis(500);
 /// The age at which the server list from the assigner is stale, in addition to the interval between
 /// sync messages. The assigner confirms its list with each lease renewal, and the next sync message
@@ -156,8 +156,7 @@
         self.update_readiness();
     }
 
-    /// Returns how long this daemon goes without a message from the assigner before it takes it for
-    /// lost.
+    /// Returns after how long without a message from the assigner this daemon considers it lost.
     pub(super) fn assigner_timeout(&self) -> Millis {
         self.sync_interval + ASSIGNER_TIMEOUT
     }
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         connection::Backends,
-        control::message::{Member, Route, RouteKey, SyncMessage, Versions},
+        control::message::{Member, RouteEntry, RouteKey, SyncMessage, Versions},
         process::Shared,
         version::{View, ViewParts},
     },
@@ -44,7 +44,7 @@
     draining_since: HashMap<ServerIncarnation, Millis>,
     /// The latest time at which the registry is known to have matched the store.
     pub(crate) servers_fresh_at: Millis,
-    pub(crate) routes: ReplicatedMap<RouteKey, Route>,
+    pub(crate) routes: ReplicatedMap<RouteKey, RouteEntry>,
     /// The same routes by service.
     key_routes: BTreeMap<SmolStr, KeyRoutes>,
     pub(crate) members: ReplicatedMap<SmolStr, Member>,
@@ -217,7 +217,7 @@
     }
 
     /// Applies an update of the routes if it leads to a later version. Returns whether it did.
-    pub(crate) fn merge_routes(&mut self, update: MapUpdate<RouteKey, Route>) -> bool {
+    pub(crate) fn merge_routes(&mut self, update: MapUpdate<RouteKey, RouteEntry>) -> bool {
         if !self.routes.apply(update) {
             return false;
         }
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -34,7 +34,7 @@
 /// The key of a range in the replicated routes: its service and its first key.
 pub(crate) type RouteKey = (SmolStr, u16);
 /// The last key of a range, and the server that serves it.
-pub(crate) type Route = (u16, Holder);
+pub(crate) type RouteEntry = (u16, Holder);
 
 /// Sent by the assigner to every daemon regularly and after each change. Contains only what the
 /// receiver lacks.
@@ -51,7 +51,7 @@
     pub(crate) resigning: bool,
     pub(crate) config: Option<Bytes>,
     pub(crate) servers: Option<RegistryChanges>,
-    pub(crate) routes: Option<MapUpdate<RouteKey, Route>>,
+    pub(crate) routes: Option<MapUpdate<RouteKey, RouteEntry>>,
     pub(crate) members: Option<MapUpdate<SmolStr, Member>>,
 }
 
