Don't read the servers all the time with a short drain period

Callers saw: nothing; the store would have been called needlessly. Class: a limit without a floor. Now the limit is 900 ms at least, as it was before. Nothing changes with the drain periods of 2 s and 2.5 s that the sites have.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -417,8 +417,10 @@
     /// because the list from the assigner is stale.
     pub(super) fn reads_servers(&self) -> bool {
         // A daemon that reads the servers itself must learn of a drain before the drain period ends.
-        let stale_after = (self.sync_interval + SERVERS_STALE_AFTER)
-            .min(self.cx.bootstrap.bounds.drain_period.since(DRAIN_MARGIN));
+        // With a short period it would read them all the time.
+        let drain_limit = self.cx.bootstrap.bounds.drain_period.since(DRAIN_MARGIN);
+        let stale_after =
+            (self.sync_interval + SERVERS_STALE_AFTER).min(drain_limit.max(SERVERS_STALE_AFTER));
         let stale = self.now().since(self.state.servers_fresh_at) > stale_after;
         matches!(self.role, Role::Assigner(_)) || stale
     }
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -37,6 +37,7 @@
     /// The second and third octet of all loopback addresses of the deployment.
     octets: [u8; 2],
     work_dir: PathBuf,
+    drain_period: Duration,
     /// The version of the configuration in the store.
     version: u32,
 }
@@ -59,7 +60,7 @@
     /// Starts a store, backend servers and daemons, and waits until every daemon is ready.
     ///
     /// `daemons` is the number of daemons; `keyed` and `plain` are the numbers of servers of the
-    /// services with these names.
+    /// services with these names. Servers that drain may get requests for `drain_period`.
     ///
     /// # Errors
     ///
@@ -69,6 +70,7 @@
         daemons: u8,
         keyed: u8,
         plain: u8,
+        drain_period: Duration,
     ) -> eyre::Result<Deployment> {
         let octets = [
             16 + u8::try_from(std::process::id() % 200).unwrap_or(0),
@@ -91,6 +93,7 @@
             grant_registry: GrantRegistry::default(),
             octets,
             work_dir,
+            drain_period,
             version: 0,
         };
         deployment.publish_configuration();
@@ -232,9 +235,10 @@
              [network.listen]\nfront = \"{caller_address}\"\nready = \"{readiness_address}\"\ncontrol = \"{peer_address}\"\n\
              [platform]\nheartbeat_ms = 870\n\
              [platform.platform]\naddress = \"{}\"\n\
-             [terms.bounds]\ndrain_ms = 2000\ngrace_s = 6\n",
+             [terms.bounds]\ndrain_ms = {}\ngrace_s = 6\n",
             self.address(10, 8166),
             self.store.address,
+            self.drain_period.as_millis(),
         );
         fs::write(&settings_file, text)?;
         let log_file = settings_file.with_extension("log");
--- a/tests/users_platform/load.rs
+++ b/tests/users_platform/load.rs
@@ -24,7 +24,7 @@
 /// of `plain`, the service without keys.
 pub async fn deployment(daemons: u8, keyed: u8, plain: u8) -> eyre::Result<Deployment> {
     let program = Path::new(env!("CARGO_BIN_EXE_oriolehoist"));
-    Deployment::start(program, daemons, keyed, plain).await
+    Deployment::start(program, daemons, keyed, plain, SECOND * 2).await
 }
 
 /// The responses to the requests of a load, each with the path of its request.
--- a/tests/users_platform/store.rs
+++ b/tests/users_platform/store.rs
@@ -2,8 +2,11 @@
 //! configuration it contains.
 
 use {
-    crate::load::*, googletest::prelude::*, oriolehoist_testkit::users_platform::*,
-    std::collections::HashSet, tokio::time::sleep,
+    crate::load::*,
+    googletest::prelude::*,
+    oriolehoist_testkit::users_platform::*,
+    std::{collections::HashSet, path::Path},
+    tokio::time::sleep,
 };
 
 #[gtest]
@@ -24,6 +27,20 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_drain_period_does_not_make_every_daemon_read_the_servers() -> eyre::Result<()> {
+    let program = Path::new(env!("CARGO_BIN_EXE_oriolehoist"));
+    let deployment = Deployment::start(program, 5, 3, 1, SECOND).await?;
+    sleep(SECOND * 2).await;
+    let request_count = deployment.store.request_count();
+    sleep(SECOND * 4).await;
+    // The limit is 5 requests per second in steady state, for 4 s.
+    expect_that!(deployment.store.request_count() - request_count, le(20));
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn ten_daemons_at_rest_make_few_calls_to_the_store() -> eyre::Result<()> {
