Check for a planned stop again before a request is read

Callers saw: a request that was running when a daemon's planned stop ended was cut off. Cause: checked whether busy connections may still be read before it waited for input. A connection that waited with a request in flight since before that time still read the next one. Class: a condition that is checked before a wait and used after it. Now it is checked after the wait. Before, in the new test: the request behind the long one was run; now it is not. The two other tests of planned stops pass.

--- a/crates/oriolehoist_edge/src/connection/callers.rs
+++ b/crates/oriolehoist_edge/src/connection/callers.rs
@@ -116,9 +116,6 @@
     async fn run(mut self) {
         let mut in_flight = FuturesOrdered::new();
         loop {
-            // A caller that always has requests in flight would otherwise still send some when the
-            // process exits. Requests that are not read are sent again.
-            self.read_closed |= self.cx.may_close_connections() && !in_flight.is_empty();
             if self.buf.capacity() - self.buf.len() < MIN_READ_CAPACITY {
                 self.buf.reserve(MIN_READ_CAPACITY);
             }
@@ -170,6 +167,9 @@
                     None => {}
                 },
             }
+            // A caller that always has requests in flight would otherwise still send some when the
+            // process exits. Requests that are not read are sent again.
+            self.read_closed |= self.cx.may_close_connections() && !in_flight.is_empty();
             while in_flight.len() < MAX_PIPELINED_REQUESTS && !self.read_closed {
                 match self.next_request().await {
                     Ok(Some(pending)) => in_flight.push_back(await_response(pending)),
--- a/tests/users_platform/requests.rs
+++ b/tests/users_platform/requests.rs
@@ -112,6 +112,43 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_behind_a_long_one_is_not_read_at_the_end_of_a_planned_stop() -> eyre::Result<()>
+{
+    let mut deployment = deployment(2, 1, 2).await?;
+    let service_time = Duration::from_millis(1300);
+    for server in &deployment.servers {
+        server.set_faults(ServerFaults { service_time, ..ServerFaults::default() });
+    }
+    let mut stream = TcpStream::connect(deployment.daemons[0].caller_address).await?;
+    let request = |id: &str| {
+        format!(
+            "GET /p/{id} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\nx-deadline-ms: 1500\r\n\r\n"
+        )
+    };
+    let sending = tokio::spawn(async move {
+        sleep(Duration::from_millis(1900)).await;
+        stream.write_all(request("long").as_bytes()).await?;
+        // The daemon closes connections from 2.2 s after the request to stop on.
+        sleep(Duration::from_millis(800)).await;
+        stream.write_all(request("behind").as_bytes()).await?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await?;
+        eyre::Ok(text.to_lowercase())
+    });
+    let status = deployment.daemons[0].stop().await?;
+    expect_that!(status.is_some_and(|status| status.success()), eq(true));
+    let text = sending.await??;
+    expect_that!(text, contains_substring("x-request-id: long"));
+    expect_that!(text, contains_substring("connection: close"));
+    let executed: Vec<String> =
+        deployment.executed_requests().into_iter().map(|run| run.request_id).collect();
+    expect_that!(executed, elements_are![eq("long")]);
+    clean_up(deployment);
+    Ok(())
+}
+
 /// The required bound on how long it may take until a daemon knows what the others have learned.
 const PEER_SYNC_BOUND: Duration = Duration::from_millis(3000);
 
