Log where a configuration came from, and calls that time out

SettingsInForce now names the call or the daemon that brought the version, how long the call took, whether its connection had been used before, and how long ago the previous version was last confirmed. CallTimedOut is new: it has the age of the connection and of the last data on it. StoreCallFailed has the duration. No decision uses any of it.

--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -168,7 +168,8 @@
     /// has too many connections. No request has been sent at that point.
     async fn connect(&self) -> Result<ClientConnection, CallError> {
         let connection =
-            ClientConnection::connect(self.source, self.address, CONNECT_TIMEOUT).await?;
+            ClientConnection::connect(self.clock, self.source, self.address, CONNECT_TIMEOUT)
+                .await?;
         sleep(RESET_DETECTION_DELAY).await;
         match connection.is_open_and_idle() {
             true => Ok(connection),
@@ -179,7 +180,8 @@
     /// Returns whether the server's address refuses connections, which means that no process is
     /// listening there.
     pub(crate) async fn refuses_connections(&self) -> bool {
-        let result = ClientConnection::connect(self.source, self.address, CONNECT_TIMEOUT).await;
+        let result =
+            ClientConnection::connect(self.clock, self.source, self.address, CONNECT_TIMEOUT).await;
         matches!(result, Err(CallError::Connect(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
--- a/crates/oriolehoist_edge/src/connection/client.rs
+++ b/crates/oriolehoist_edge/src/connection/client.rs
@@ -2,6 +2,7 @@
     crate::connection::{CallError, ClientConnection, IdlePool, SendState},
     http::{HeaderValue, header},
     oriolehoist_http1::encode_request,
+    oriolehoist_log::{Event, report},
     oriolehoist_port::{HttpRequest, HttpResponse},
     oriolehoist_time::{Clock, Millis},
     std::{
@@ -46,7 +47,8 @@
 
     /// Opens a new connection.
     pub(crate) async fn connect(&self, to: SocketAddr) -> Result<ClientConnection, CallError> {
-        ClientConnection::connect(self.source, to, self.options.connect_timeout).await
+        let max_wait = self.options.connect_timeout;
+        ClientConnection::connect(self.clock, self.source, to, max_wait).await
     }
 
     /// Sends a request and returns the response. The connection goes to the pool if it can be
@@ -84,12 +86,24 @@
             headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
         }
         let message = encode_request(&request.method, &request.path, &headers, &request.body);
+        let (sent_at, reused) = (self.clock.now(), connection.was_used());
         let mut send_state = SendState::NotSent;
         let received = connection.send(&request.method, message, None, &mut send_state);
         let received = timeout(Duration::from(max_wait), received).await;
         match received.unwrap_or(Err(CallError::TimedOut)) {
             Ok(received) => Ok((received.response, received.reusable.then_some(connection))),
             Err(error) => {
+                if matches!(error, CallError::TimedOut) {
+                    let now = self.clock.now();
+                    let text = format_args!(
+                        "to={to} took_ms={} connection={} age_ms={} silent_ms={}",
+                        now.since(sent_at).0,
+                        if reused { "reused" } else { "new" },
+                        now.since(connection.opened_at()).0,
+                        now.since(connection.received_at()).0,
+                    );
+                    report(Event::CallTimedOut, text);
+                }
                 connection.reset();
                 Err(error)
             }
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -4,7 +4,7 @@
     http::{HeaderName, HeaderValue, Method},
     oriolehoist_http1::{BodyReader, ResponseHead, parse_response_head},
     oriolehoist_port::HttpResponse,
-    oriolehoist_time::Millis,
+    oriolehoist_time::{Clock, Millis},
     rustix::net::sockopt::{set_socket_linger, set_tcp_user_timeout},
     std::{
         io,
@@ -56,6 +56,10 @@
 pub(crate) struct ClientConnection {
     stream: TcpStream,
     buf: BytesMut,
+    clock: Clock,
+    opened_at: Millis,
+    /// When data was last received, or when the connection was opened.
+    received_at: Millis,
     /// Whether a request was sent on it.
     used: bool,
 }
@@ -73,6 +77,7 @@
 impl ClientConnection {
     /// Connects to `to` from the local address `source`.
     pub(crate) async fn connect(
+        clock: Clock,
         source: IpAddr,
         to: SocketAddr,
         max_wait: Millis,
@@ -90,7 +95,11 @@
             Ok(stream)
         };
         match timeout(Duration::from(max_wait), connect).await {
-            Ok(Ok(stream)) => Ok(ClientConnection { stream, buf: BytesMut::new(), used: false }),
+            Ok(Ok(stream)) => {
+                let (buf, now) = (BytesMut::new(), clock.now());
+                let (opened_at, received_at) = (now, now);
+                Ok(ClientConnection { stream, buf, clock, opened_at, received_at, used: false })
+            }
             Ok(Err(error)) => Err(CallError::Connect(error)),
             Err(_) => Err(CallError::Connect(io::ErrorKind::TimedOut.into())),
         }
@@ -111,6 +120,16 @@
         self.used
     }
 
+    /// Returns when the connection was opened.
+    pub(crate) fn opened_at(&self) -> Millis {
+        self.opened_at
+    }
+
+    /// Returns when data was last received, or when the connection was opened.
+    pub(crate) fn received_at(&self) -> Millis {
+        self.received_at
+    }
+
     /// Resets the connection, which discards data that has not been delivered yet.
     pub(crate) fn reset(self) {
         // If this fails, the connection is closed normally instead. No decision depends on the
@@ -129,7 +148,7 @@
         send_state: &mut SendState,
     ) -> Result<ReceivedResponse, CallError> {
         self.used = true;
-        let ClientConnection { stream, buf, .. } = self;
+        let ClientConnection { stream, buf, clock, received_at, .. } = self;
         let (mut rx, mut tx) = stream.split();
         let mut remaining = message;
         let mut reader = ResponseReader { method, request_id, partial: None };
@@ -145,6 +164,7 @@
                 }
                 read = rx.read_buf(buf) => read.map_err(CallError::Io)?,
             };
+            *received_at = clock.now();
             let complete = match read {
                 0 => reader.on_eof()?,
                 _ => reader.advance(buf)?,
--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -6,7 +6,7 @@
             claim::Candidacy,
             cluster_state::ClusterState,
             election::campaign,
-            message::{Input, Member, SyncMessage},
+            message::{ConfigSource, Input, Member, SyncMessage},
             peers::{confirm_last_term, send_sync},
             tasks::MEMBER_REWRITE_PERIOD,
         },
@@ -297,8 +297,13 @@
         self.check_era();
         match input {
             Input::Tick => self.tick(control),
-            Input::Config(bytes) => {
-                if self.state.merge_config(&self.cx, &bytes) {
+            Input::ConfigConfirmed(at) => self.state.confirm_config(at),
+            Input::Config { bytes, source } => {
+                let changed = self.state.merge_config(&self.cx, &bytes, &source);
+                if let ConfigSource::Store(call) = source {
+                    self.state.confirm_config(call.started_at);
+                }
+                if changed {
                     if let Role::Assigner(assigner) = &mut self.role {
                         assigner.on_servers(now, &self.state, false);
                     }
@@ -363,7 +368,8 @@
                     assigner.on_load(other.map_or(&[], |response| &response.load));
                 }
                 if let Some(bytes) = newer_config {
-                    self.on_input(control, Input::Config(bytes));
+                    let source = ConfigSource::Daemon(to.instance.clone());
+                    self.on_input(control, Input::Config { bytes, source });
                 }
                 if has_higher_term {
                     self.step_down("a peer reported a higher term");
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         connection::Backends,
-        control::message::{Member, RouteEntry, RouteKey, SyncMessage, Versions},
+        control::message::{ConfigSource, Member, RouteEntry, RouteKey, SyncMessage, Versions},
         process::Shared,
         version::{View, ViewParts},
     },
@@ -32,6 +32,8 @@
     pub(crate) config_version: u64,
     /// The configuration as written by the operators, for peers that lack it.
     pub(crate) config_bytes: Bytes,
+    /// The latest time at which the configuration is known to have been the store's.
+    pub(crate) config_fresh_at: Millis,
     /// When the configuration was applied.
     pub(crate) config_applied_at: Millis,
     pub(crate) registry: Registry,
@@ -63,17 +65,24 @@
     }
 
     /// Applies a configuration if it is newer. Returns whether it was.
-    pub(crate) fn merge_config(&mut self, cx: &Shared, bytes: &Bytes) -> bool {
+    pub(crate) fn merge_config(
+        &mut self,
+        cx: &Shared,
+        bytes: &Bytes,
+        source: &ConfigSource,
+    ) -> bool {
         if *bytes == self.config_bytes {
             return false;
         }
         match cx.platform.decode_configuration(bytes) {
             Ok(config) if config.version > self.config_version => {
                 let (version, routes) = (config.version, config.routes.len());
-                report(
-                    Event::SettingsInForce,
-                    format_args!("version={version:08x} routes={routes}"),
+                let confirmed_ms = cx.clock.now().since(self.config_fresh_at).0;
+                let text = format_args!(
+                    "version={version:08x} routes={routes} from={source} \
+                     confirmed_ms={confirmed_ms}"
                 );
+                report(Event::SettingsInForce, text);
                 self.config_version = version;
                 self.config = Some(Arc::new(config));
                 self.config_bytes = bytes.clone();
@@ -88,6 +97,11 @@
         }
     }
 
+    /// Records that the configuration was the store's at `at`.
+    pub(crate) fn confirm_config(&mut self, at: Millis) {
+        self.config_fresh_at = self.config_fresh_at.max(at);
+    }
+
     /// Applies registrations that this daemon has read from the store with a request sent at
     /// `read_at`, unless they are older. Returns whether the servers changed.
     pub(crate) fn merge_registry(
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -3,7 +3,7 @@
 use {
     crate::control::{
         actor::Control,
-        message::{SyncMessage, SyncResponse, Versions},
+        message::{ConfigSource, SyncMessage, SyncResponse, Versions},
     },
     oriolehoist_log::{Event, report},
     oriolehoist_port::{Revision, StoreEra},
@@ -53,7 +53,8 @@
     fn apply_sync(&mut self, mut sync: SyncMessage) {
         let mut changed = self.state.merge_registry_changes(&self.cx, &mut sync);
         if let Some(bytes) = &sync.config {
-            changed |= self.state.merge_config(&self.cx, bytes);
+            let source = ConfigSource::Daemon(sync.from.instance.clone());
+            changed |= self.state.merge_config(&self.cx, bytes, &source);
         }
         if let Some(update) = sync.routes {
             changed |= self.state.merge_routes(update);
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -1,7 +1,10 @@
 //! Messages between daemons, and the inputs of the control actor.
 
 use {
-    crate::control::{claim::Candidacy, store::StoreError},
+    crate::control::{
+        claim::Candidacy,
+        store::{CallTrace, StoreError},
+    },
     bytes::Bytes,
     oriolehoist_keyspace::{
         AssignmentTable, FenceCounter, Holder, LoadReport, OrderId, OrderOutcome,
@@ -13,7 +16,10 @@
     oriolehoist_time::Millis,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
-    std::net::SocketAddr,
+    std::{
+        fmt::{self, Display, Formatter},
+        net::SocketAddr,
+    },
 };
 
 /// A daemon of the cluster, as registered in the store.
@@ -80,12 +86,38 @@
     }
 }
 
+/// Where a version of the configuration came from.
+#[derive(Clone, Debug)]
+pub(crate) enum ConfigSource {
+    Store(CallTrace),
+    Daemon(SmolStr),
+}
+
+impl Display for ConfigSource {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigSource::Store(call) => {
+                let connection = match call.reused {
+                    Some(true) => "reused",
+                    Some(false) => "new",
+                    None => "none",
+                };
+                let took = call.ended_at.since(call.started_at).0;
+                write!(f, "{} took_ms={took} connection={connection}", call.kind.name())
+            }
+            ConfigSource::Daemon(instance) => write!(f, "{instance}"),
+        }
+    }
+}
+
 /// An input of the control actor.
 pub(crate) enum Input {
     /// The time for periodic work.
     Tick,
     /// A configuration was read from the store or received from a peer.
-    Config(Bytes),
+    Config { bytes: Bytes, source: ConfigSource },
+    /// The store had no other version of the configuration at this time.
+    ConfigConfirmed(Millis),
     /// The servers were read from the store by a request sent at `read_at`.
     Servers { read_at: Millis, registry: Registry },
     /// The stored table was read while this daemon was starting.
--- a/crates/oriolehoist_edge/src/control/store.rs
+++ b/crates/oriolehoist_edge/src/control/store.rs
@@ -5,7 +5,7 @@
     },
     derive_more::Display,
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{Item, Revision, StoreRequest, StoreResponse},
+    oriolehoist_port::{Item, Revision, StoreRequest, StoreRequestKind, StoreResponse},
     oriolehoist_time::Millis,
     std::sync::Arc,
 };
@@ -37,6 +37,16 @@
     Malformed,
 }
 
+/// How a request to the store was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallTrace {
+    pub(crate) kind: StoreRequestKind,
+    pub(crate) started_at: Millis,
+    pub(crate) ended_at: Millis,
+    /// Whether the connection had been used before, if there was one.
+    pub(crate) reused: Option<bool>,
+}
+
 /// The client of the platform's store.
 pub(crate) struct StoreClient {
     cx: Arc<Shared>,
@@ -55,6 +65,17 @@
 
     /// Sends a request and returns the decoded response.
     pub(crate) async fn call(&self, request: StoreRequest) -> Result<StoreResponse, StoreError> {
+        self.traced_call(request).await.0
+    }
+
+    /// Sends a request and returns the decoded response, and how the request was sent.
+    pub(crate) async fn traced_call(
+        &self,
+        request: StoreRequest,
+    ) -> (Result<StoreResponse, StoreError>, CallTrace) {
+        let started_at = self.cx.clock.now();
+        let mut trace =
+            CallTrace { kind: request.kind(), started_at, ended_at: started_at, reused: None };
         let wait = match &request {
             StoreRequest::Watch { wait, .. } => *wait + CALL_TIMEOUT,
             _ => CALL_TIMEOUT,
@@ -64,15 +85,17 @@
                 biased;
                 // In a later era the store has issued these revisions again, or does not have them.
                 () = self.cx.store_era_after(era) => outdated(&request),
-                response = self.send(&request, wait) => response,
+                response = self.send(&request, wait, &mut trace.reused) => response,
             },
-            None => self.send(&request, wait).await,
+            None => self.send(&request, wait, &mut trace.reused).await,
         };
+        trace.ended_at = self.cx.clock.now();
         if let Err(error) = &response {
-            let kind = request.kind().name();
-            report(Event::StoreCallFailed, format_args!("call={kind} error=\"{error}\""));
+            let (kind, took) = (trace.kind.name(), trace.ended_at.since(started_at).0);
+            let text = format_args!("call={kind} error=\"{error}\" took_ms={took}");
+            report(Event::StoreCallFailed, text);
         }
-        response
+        (response, trace)
     }
 
     /// Reads all items under a prefix. Returns the pages, each with the store's revision when it was
@@ -101,11 +124,13 @@
         &self,
         request: &StoreRequest,
         wait: Millis,
+        reused: &mut Option<bool>,
     ) -> Result<StoreResponse, StoreError> {
         self.cx.metrics.on_store_call(request.kind());
         let http_request = self.cx.platform.encode_store_request(request);
         let address = self.cx.bootstrap.store_address;
         let connection = self.http.acquire(address).await.map_err(|_| StoreError::NotSent)?;
+        *reused = Some(connection.was_used());
         let response = self
             .http
             .send(connection, address, &http_request, wait)
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -7,7 +7,7 @@
             election::{MEMBERS_PREFIX, TABLE_KEY},
             handlers::{ActorReply, GetServers, GetStoreReadPlan, StoreReadPlan},
             load_gossip::run_load_gossip,
-            message::{Input, Member},
+            message::{ConfigSource, Input, Member},
             peers::{broadcast_suspects, fetch_cluster_state},
             servers::ServerReader,
             store::StoreError,
@@ -110,10 +110,12 @@
         let mut after = None;
         loop {
             let Some(revision) = after else {
-                match self.store.call(StoreRequest::Get(key.into())).await {
+                let (response, call) = self.store.traced_call(StoreRequest::Get(key.into())).await;
+                match response {
                     Ok(StoreResponse::Item { item: Some(item), revision: at }) => {
                         after = Some(at);
-                        self.send_input(Input::Config(item.value)).await;
+                        let source = ConfigSource::Store(call);
+                        self.send_input(Input::Config { bytes: item.value, source }).await;
                     }
                     _ => sleep(RETRY_DELAY).await,
                 }
@@ -124,8 +126,8 @@
             let wait =
                 if watch_closely { SHORT_CONFIG_WATCH_TIMEOUT } else { LONG_CONFIG_WATCH_TIMEOUT };
             let request = StoreRequest::Watch { prefix: key.into(), after: revision, wait };
-            let response = tokio::select! {
-                response = self.store.call(request) => response,
+            let (response, call) = tokio::select! {
+                result = self.store.traced_call(request) => result,
                 // Without an assigner, nobody would report a change that a stalled watch has
                 // missed.
                 () = self.cx.assigner_lost.notified(), if !watch_closely => {
@@ -135,9 +137,13 @@
             };
             match response {
                 Ok(StoreResponse::Changes { changes, revision: at }) => {
+                    if changes.is_empty() {
+                        self.send_input(Input::ConfigConfirmed(call.started_at)).await;
+                    }
                     for change in changes {
                         if let Change::Written(item) = change {
-                            self.send_input(Input::Config(item.value)).await;
+                            let source = ConfigSource::Store(call);
+                            self.send_input(Input::Config { bytes: item.value, source }).await;
                         }
                     }
                     after = Some(at.max(revision));
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -61,6 +61,8 @@
     ServerDraining = 2009, Info;
     /// The store or a daemon named a later era than known before, or one for the first time.
     StoreEraChanged = 2010, Info;
+    /// A call to the store, to another daemon or to a server got no response in time.
+    CallTimedOut = 2011, Info;
     /// This daemon won a term as the assigner of a service.
     TermWon = 3001, Info;
     /// Another daemon holds a higher term, and this one is no longer the assigner.
