--- a/crates/oriolehoist_testkit/src/fault/pump.rs
+++ b/crates/oriolehoist_testkit/src/fault/pump.rs
@@ -2,6 +2,7 @@
     crate::fault::{Fault, network::Shared},
     oriolehoist_time::Millis,
     std::{
+        io,
         net::{IpAddr, SocketAddr},
         sync::{
             Arc,
@@ -11,7 +12,7 @@
     },
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
-        net::TcpStream,
+        net::{TcpSocket, TcpStream},
         time::sleep,
     },
 };
@@ -46,7 +47,7 @@
     target: SocketAddr,
 ) {
     let opened_at = shared.clock.now();
-    let Ok(server) = TcpStream::connect(target).await else { return };
+    let Ok(server) = connect(from, target).await else { return };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
     let (client_rx, client_tx) = client.into_split();
@@ -64,6 +65,13 @@
     }
 }
 
+/// Connects to `target` from the caller's own address, which the target may look at.
+async fn connect(from: IpAddr, target: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(from, 0))?;
+    socket.connect(target).await
+}
+
 struct Connection {
     shared: Arc<Shared>,
     from: IpAddr,
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        fault::Network,
         lock::lock,
         loopback::reserve_range,
         users_platform::{
@@ -7,6 +8,7 @@
             grants::GrantRegistry, server::Journal,
         },
     },
+    oriolehoist_time::Clock,
     serde_json::json,
     std::{
         fs,
@@ -20,9 +22,15 @@
 /// The host name that all routes match.
 pub const HOST: &str = "tides.example";
 
+/// The name of the edge between the daemons and the store.
+pub const STORE_EDGE: &str = "store";
+
 /// How long the servers take to run a request.
 const SERVICE_TIME: Duration = Duration::from_millis(10);
 
+/// The port at which the daemons reach the store.
+const STORE_EDGE_PORT: u16 = 8170;
+
 /// How long the entry of a server that has crashed stays in the store: about three heartbeats.
 const ENTRY_LIFETIME: Duration = Duration::from_millis(3500);
 
@@ -33,6 +41,9 @@
 pub struct Deployment {
     /// The fake of the platform's store.
     pub store: Store,
+    /// The proxies that can inject faults into connections: one in front of the store, see
+    /// [`STORE_EDGE`].
+    pub network: Network,
     /// The daemons.
     pub daemons: Vec<Daemon>,
     /// The backend servers.
@@ -67,6 +78,8 @@
         let address =
             |last_octet, port| SocketAddr::from(([127, octets[0], octets[1], last_octet], port));
         let store = Store::start(address(1, 8169)).await?;
+        let network = Network::new(Clock::start());
+        network.add_edge(STORE_EDGE, address(1, STORE_EDGE_PORT), store.address).await?;
         let work_dir = std::env::temp_dir().join(format!(
             "oriolehoist-platform-{}-{}-{}",
             std::process::id(),
@@ -76,6 +89,7 @@
         fs::create_dir_all(&work_dir)?;
         let mut deployment = Deployment {
             store,
+            network,
             daemons: Vec::new(),
             servers: Vec::new(),
             journal: Journal::default(),
@@ -107,8 +121,8 @@
         SocketAddr::from(([127, self.octets[0], self.octets[1], last_octet], port))
     }
 
-    /// Writes the next version of the configuration to the store.
-    pub fn publish_configuration(&mut self) {
+    /// Writes the next version of the configuration to the store, and returns its number.
+    pub fn publish_configuration(&mut self) -> u32 {
         self.version += 3;
         let routes = [
             json!(["k", HOST, "/k/", "idempotent", 1500, 600, 2, null, 2, "keyed"]),
@@ -132,6 +146,7 @@
             },
         });
         self.store.put("op/config", config.to_string().as_bytes());
+        self.version
     }
 
     /// Starts a backend server and registers it.
@@ -281,7 +296,7 @@
              [platform.platform]\naddress = \"{}\"\n\
              [terms.bounds]\ndrain_ms = {}\ngrace_s = 6\n",
             self.address(10, 8166),
-            self.store.address,
+            self.address(1, STORE_EDGE_PORT),
             self.drain_period.as_millis(),
         );
         fs::write(&settings_file, text)?;
--- a/crates/oriolehoist_testkit/src/users_platform/mod.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/mod.rs
@@ -13,7 +13,7 @@
 pub use {
     client::{Client, ClientResponse},
     daemon::Daemon,
-    deployment::{Deployment, HOST},
+    deployment::{Deployment, HOST, STORE_EDGE},
     grants::AcceptedGrant,
     raw_server::{RawServer, ResponseFault},
     server::{ExecutedRequest, Server, ServerFaults},
--- a/tests/users_platform/load.rs
+++ b/tests/users_platform/load.rs
@@ -24,6 +24,8 @@
 
 /// How long servers get requests after they have announced that they drain.
 pub const DRAIN_PERIOD: Duration = Duration::from_secs(2);
+/// How soon after the store has accepted it a configuration is in force on every daemon.
+pub const CONFIG_BOUND: Duration = Duration::from_secs(2);
 
 /// Starts a deployment with this many daemons, servers of the sharded service `keyed`, and servers
 /// of `plain`, the service without keys.
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -6,4 +6,5 @@
 mod log_lines;
 mod requests;
 mod servers;
+mod silent_connections;
 mod store;
--- /dev/null
+++ b/tests/users_platform/silent_connections.rs
@@ -0,0 +1,66 @@
+//! Tests in which open connections go silent for good, without a reset, while new ones work.
+
+use {
+    crate::load::*,
+    googletest::prelude::*,
+    oriolehoist_testkit::{fault::Fault, users_platform::*},
+    std::{
+        net::IpAddr,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// How long a test waits for a configuration to be in force everywhere.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Publishes a configuration, and returns how long it takes until it is in force on every daemon.
+async fn time_until_in_force(deployment: &mut Deployment) -> Duration {
+    let line = format!("SettingsInForce: version={:08x}", deployment.publish_configuration());
+    let published_at = Instant::now();
+    while published_at.elapsed() < IN_FORCE_TIMEOUT
+        && !deployment.daemons.iter().all(|daemon| daemon.log().contains(&line))
+    {
+        sleep(Duration::from_millis(10)).await;
+    }
+    published_at.elapsed()
+}
+
+/// Silences the open connections to the store, those of all daemons or those from one address, again
+/// and again, and changes the configuration at different times after that.
+async fn check_changes_on_silent_connections(
+    deployment: &mut Deployment,
+    from: Option<IpAddr>,
+) -> eyre::Result<()> {
+    for delay in [0, 300, 700, 1200] {
+        // Until the watches that were started before the assigner was known have ended.
+        sleep(SECOND * 6).await;
+        deployment.network.add_fault(from, STORE_EDGE, Fault::StallOpenConnections);
+        sleep(Duration::from_millis(delay)).await;
+        let in_force_after = time_until_in_force(deployment).await;
+        println!("changed after {delay} ms, in force {in_force_after:?} later");
+        expect_that!(in_force_after, lt(CONFIG_BOUND), "changed after {delay} ms");
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_in_time_although_all_connections_to_the_store_are_silent()
+-> eyre::Result<()> {
+    let mut deployment = deployment(4, 2, 1).await?;
+    check_changes_on_silent_connections(&mut deployment, None).await?;
+    clean_up(deployment);
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_in_time_although_the_assigners_connections_to_the_store_are_silent()
+-> eyre::Result<()> {
+    let mut deployment = deployment(4, 2, 1).await?;
+    let assigner = deployment.daemons[assigner_index(&deployment)].peer_address.ip();
+    check_changes_on_silent_connections(&mut deployment, Some(assigner)).await?;
+    clean_up(deployment);
+    Ok(())
+}
--- a/tests/users_platform/store.rs
+++ b/tests/users_platform/store.rs
@@ -18,8 +18,6 @@
 const RESTORE_OUTAGE: Duration = Duration::from_millis(300);
 /// How long after that the operator and the servers write their values again.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
-/// How soon a configuration is in force on every daemon.
-const CONFIG_BOUND: Duration = Duration::from_secs(2);
 
 /// Returns the first grant whose fencing token is not higher than that of an earlier grant of the same
 /// keys to another server.
