Find out that a configuration is stale although its connections are open

Cause: an open connection was taken for contact. Changes were noticed by long polls alone, of 5 s at three daemons and 28 s at the others, and nothing else was concluded from a call that timed out.

A call that times out now makes every connection to that address suspect that has received nothing since it was sent: idle ones are closed, and long polls are repeated over new ones. The configuration has an age, like the list of servers: the assigner's renewals confirm it while a watch waits, the messages between daemons carry it, and a daemon asks the store over a new connection when the age comes within 0.5 s of the agreed time, which is now read from the settings. So one watch at the assigner is enough, of 1.2 s instead of three of 5 s.

A watch of the servers that is interrupted lists them again and counts as a failure from then on, since the store may have been away: the test servers_whose_registrations_lapsed_in_an_outage_keep_their_keys failed without.

--- a/crates/oriolehoist_edge/src/connection/client.rs
+++ b/crates/oriolehoist_edge/src/connection/client.rs
@@ -1,5 +1,5 @@
 use {
-    crate::connection::{CallError, ClientConnection, IdlePool, SendState},
+    crate::connection::{CallError, ClientConnection, IdlePool, SendState, SilenceTracker},
     http::{HeaderValue, header},
     oriolehoist_http1::encode_request,
     oriolehoist_log::{Event, report},
@@ -29,12 +29,14 @@
     clock: Clock,
     source: IpAddr,
     pool: IdlePool,
+    silence: SilenceTracker,
     options: HttpClientOptions,
 }
 
 impl HttpClient {
     pub(crate) fn new(clock: Clock, source: IpAddr, options: HttpClientOptions) -> HttpClient {
-        HttpClient { clock, source, pool: IdlePool::default(), options }
+        let (pool, silence) = (IdlePool::default(), SilenceTracker::default());
+        HttpClient { clock, source, pool, silence, options }
     }
 
     /// Takes an idle connection from the pool, or opens a new one.
@@ -68,6 +70,23 @@
         Ok(response)
     }
 
+    /// Sends a request whose response may take long, and returns the response. Gives up with
+    /// [`CallError::Suspected`] as soon as another call shows that the connection may be silent.
+    pub(crate) async fn send_long_poll(
+        &self,
+        connection: ClientConnection,
+        to: SocketAddr,
+        request: &HttpRequest,
+        max_wait: Millis,
+    ) -> Result<HttpResponse, CallError> {
+        let received_at = connection.received_at();
+        tokio::select! {
+            biased;
+            result = self.send(connection, to, request, max_wait) => result,
+            () = self.silence.suspected(to, received_at) => Err(CallError::Suspected),
+        }
+    }
+
     /// Sends a request and returns the response, and the connection if it can be reused. If no
     /// complete response arrives, the connection is reset, so that data still in transit is not
     /// delivered.
@@ -103,6 +122,8 @@
                         now.since(connection.received_at()).0,
                     );
                     report(Event::CallTimedOut, text);
+                    self.silence.on_timeout(to, sent_at);
+                    self.pool.close_silent(to, sent_at);
                 }
                 connection.reset();
                 Err(error)
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -49,6 +49,9 @@
     /// The response did not arrive in time.
     #[display("request timed out")]
     TimedOut,
+    /// Another call timed out, and nothing has arrived on the connection since that one was sent.
+    #[display("connection may be silent")]
+    Suspected,
 }
 
 /// A connection to another process, for one request at a time.
--- a/crates/oriolehoist_edge/src/connection/idle_pool.rs
+++ b/crates/oriolehoist_edge/src/connection/idle_pool.rs
@@ -41,6 +41,13 @@
         connections.entry(address).or_default().push(IdleConnection { connection, expires_at });
     }
 
+    /// Closes the connections to an address that have received nothing since `since`.
+    pub(crate) fn close_silent(&self, address: SocketAddr, since: Millis) {
+        if let Some(connections) = lock(&self.connections).get_mut(&address) {
+            connections.retain(|entry| entry.connection.received_at() > since);
+        }
+    }
+
     /// Closes all connections.
     pub(crate) fn clear(&self) {
         lock(&self.connections).clear();
--- a/crates/oriolehoist_edge/src/connection/mod.rs
+++ b/crates/oriolehoist_edge/src/connection/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod client_connection;
 mod idle_pool;
+mod silence;
 
 pub(crate) use {
     backend::{Backend, Backends},
@@ -13,4 +14,5 @@
     client::{HttpClient, HttpClientOptions},
     client_connection::{CallError, ClientConnection, SendState},
     idle_pool::IdlePool,
+    silence::SilenceTracker,
 };
--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -40,10 +40,6 @@
 pub(super) const ELECTION_RETRY_DELAY: Millis = Millis(250);
 /// The minimum time between two sync messages to a peer.
 const SYNC_INTERVAL: Millis = Millis(200);
-/// The number of daemons besides the assigner that use a short timeout for their configuration
-/// watch. If the watch of any other daemon stalls unnoticed, it still gets changes from the
-/// assigner.
-const SHORT_CONFIG_WATCH_COUNT: usize = 2;
 /// A daemon that has not responded to the assigner for this long is not counted as a member until
 /// it responds again.
 const MEMBER_TIMEOUT: Millis = Millis::from_secs(20);
@@ -72,6 +68,8 @@
     pub(super) term: u64,
     /// Since when a watch of the servers has been waiting for changes, if one has.
     watching_since: Option<Millis>,
+    /// Since when a watch of the configuration has been waiting for changes, if one has.
+    config_watched_since: Option<Millis>,
 }
 
 /// The role of this daemon in the cluster.
@@ -101,6 +99,7 @@
             sync_interval: SYNC_INTERVAL,
             term: 0,
             watching_since: None,
+            config_watched_since: None,
         }
     }
 
@@ -123,7 +122,6 @@
                 if timed_out && self.assigner_reachable {
                     self.assigner_reachable = false;
                     report(Event::AssignerHeard, format_args!("heard=false term={}", self.term));
-                    self.cx.assigner_lost.notify_one();
                 }
                 let is_due = (timed_out || successors.is_some()) && now >= *next_election_at;
                 if is_due && !self.cx.is_stopping() {
@@ -218,6 +216,7 @@
                 versions: state.versions(),
                 interval,
                 servers_age: now.since(state.servers_fresh_at),
+                config_age: Some(self.cx.config_age()),
                 resigning,
                 config: None,
                 servers: None,
@@ -282,14 +281,10 @@
         }
     }
 
-    /// Returns whether this daemon uses a short timeout for its configuration watch, to notice a
-    /// stalled one soon: as the assigner, as one of a few other daemons, or without contact with an
-    /// assigner.
-    pub(super) fn watches_config_closely(&self) -> bool {
-        let position = self.state.members.get().values().position(|member| *member == self.local);
-        matches!(self.role, Role::Assigner(_))
-            || !self.assigner_reachable
-            || position.is_none_or(|position| position < SHORT_CONFIG_WATCH_COUNT)
+    /// Returns whether this daemon's own watch is all that confirms its configuration: as the
+    /// assigner, or without contact with one.
+    pub(super) fn confirms_config_itself(&self) -> bool {
+        matches!(self.role, Role::Assigner(_)) || !self.assigner_reachable
     }
 
     pub(super) fn on_input(&mut self, control: &ActorRef<Control>, input: Input) {
@@ -297,11 +292,12 @@
         self.check_era();
         match input {
             Input::Tick => self.tick(control),
-            Input::ConfigConfirmed(at) => self.state.confirm_config(at),
+            Input::ConfigWatched(watched) => self.config_watched_since = watched.then_some(now),
+            Input::ConfigConfirmed(at) => self.state.confirm_config(&self.cx, at),
             Input::Config { bytes, source } => {
                 let changed = self.state.merge_config(&self.cx, &bytes, &source);
                 if let ConfigSource::Store(call) = source {
-                    self.state.confirm_config(call.started_at);
+                    self.state.confirm_config(&self.cx, call.started_at);
                 }
                 if changed {
                     if let Role::Assigner(assigner) = &mut self.role {
@@ -376,11 +372,17 @@
                 }
             }
             Input::LeaseRenewed { term, sent_at, response } => {
-                // The store is reachable, and a watch has been waiting there since before the
-                // renewal, which would have reported any change.
-                if response.is_ok() && self.watching_since.is_some_and(|since| since <= sent_at) {
+                // The store is reachable, and a watch that has been waiting there since before the
+                // renewal would have reported any change.
+                let shows = |watched_since: Option<Millis>| {
+                    response.is_ok() && watched_since.is_some_and(|since| since <= sent_at)
+                };
+                if shows(self.watching_since) {
                     self.state.confirm_servers(&self.cx, sent_at);
                 }
+                if shows(self.config_watched_since) {
+                    self.state.confirm_config(&self.cx, sent_at);
+                }
                 self.with_assigner_of_term(term, "the lease is no longer valid", |assigner| {
                     assigner.on_lease_renewed(now, sent_at, &response)
                 });
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -22,6 +22,12 @@
 /// The fraction of a server's connections that the daemons share for requests. The rest is reserved
 /// for orders.
 const CONNECTION_FRACTION: f64 = 0.85;
+/// How long after a change of the configuration the assigner sends it to the daemons that have not
+/// noticed it themselves.
+const CONFIG_PUSH_DELAY: Millis = Millis(500);
+/// A change was noticed late if the version before was last confirmed longer ago than this: the
+/// assigner's lease, which confirms it while a watch waits, has missed a renewal.
+const CONFIG_NOTICED_LATE_AFTER: Millis = Millis(800);
 
 /// The cluster state known to a daemon, with a version for each part. No part is replaced by an
 /// older version.
@@ -33,9 +39,9 @@
     /// The configuration as written by the operators, for peers that lack it.
     pub(crate) config_bytes: Bytes,
     /// The latest time at which the configuration is known to have been the store's.
-    pub(crate) config_fresh_at: Millis,
-    /// When the configuration was applied.
-    pub(crate) config_applied_at: Millis,
+    config_fresh_at: Millis,
+    /// From when on the configuration is sent to the daemons that lack it.
+    pub(crate) config_push_at: Millis,
     pub(crate) registry: Registry,
     /// The servers according to the registry.
     pub(crate) servers: Vec<RegisteredServer>,
@@ -77,16 +83,21 @@
         match cx.platform.decode_configuration(bytes) {
             Ok(config) if config.version > self.config_version => {
                 let (version, routes) = (config.version, config.routes.len());
-                let confirmed_ms = cx.clock.now().since(self.config_fresh_at).0;
+                let confirmed_ms = cx.config_age().0;
                 let text = format_args!(
                     "version={version:08x} routes={routes} from={source} \
                      confirmed_ms={confirmed_ms}"
                 );
                 report(Event::SettingsInForce, text);
-                self.config_version = version;
                 self.config = Some(Arc::new(config));
                 self.config_bytes = bytes.clone();
-                self.config_applied_at = cx.clock.now();
+                // The daemons watch the configuration themselves, and in general they all notice a
+                // change at the same time. If it was noticed late, they may have missed it as well.
+                let noticed_late =
+                    self.config_version > 0 && cx.config_age() > CONFIG_NOTICED_LATE_AFTER;
+                let delay = if noticed_late { Millis::ZERO } else { CONFIG_PUSH_DELAY };
+                self.config_push_at = cx.clock.now() + delay;
+                self.config_version = version;
                 true
             }
             Ok(_) => false,
@@ -98,8 +109,9 @@
     }
 
     /// Records that the configuration was the store's at `at`.
-    pub(crate) fn confirm_config(&mut self, at: Millis) {
+    pub(crate) fn confirm_config(&mut self, cx: &Shared, at: Millis) {
         self.config_fresh_at = self.config_fresh_at.max(at);
+        cx.set_config_confirmed_at(self.config_fresh_at);
     }
 
     /// Applies registrations that this daemon has read from the store with a request sent at
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -56,6 +56,11 @@
             let source = ConfigSource::Daemon(sync.from.instance.clone());
             changed |= self.state.merge_config(&self.cx, bytes, &source);
         }
+        if let Some(age) = sync.config_age
+            && sync.versions.config == self.state.config_version
+        {
+            self.state.confirm_config(&self.cx, self.now().since(age));
+        }
         if let Some(update) = sync.routes {
             changed |= self.state.merge_routes(update);
         }
@@ -77,6 +82,7 @@
             versions: state.versions(),
             interval: self.sync_interval,
             servers_age: self.now().since(state.servers_fresh_at),
+            config_age: Some(self.cx.config_age()),
             resigning: false,
             config: state.config.as_ref().map(|_| state.config_bytes.clone()),
             servers: Some(state.registry.changes_since(self.now(), Revision::default())),
--- a/crates/oriolehoist_edge/src/control/handlers.rs
+++ b/crates/oriolehoist_edge/src/control/handlers.rs
@@ -41,8 +41,8 @@
     pub(crate) reads_members: bool,
     /// Whether a configuration is known.
     pub(crate) has_config: bool,
-    /// Whether other daemons rely on this one to notice configuration changes.
-    pub(crate) watches_config_closely: bool,
+    /// Whether only this daemon's own watch confirms its configuration.
+    pub(crate) confirms_config_itself: bool,
 }
 
 impl Message<Input> for Control {
@@ -101,7 +101,7 @@
             reads_servers: self.reads_servers(),
             reads_members: matches!(self.role, Role::Assigner(_)),
             has_config: self.state.config.is_some(),
-            watches_config_closely: self.watches_config_closely(),
+            confirms_config_itself: self.confirms_config_itself(),
         })
     }
 }
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -55,6 +55,10 @@
     pub(crate) interval: Millis,
     /// The time since the server list was last confirmed by the store.
     pub(crate) servers_age: Millis,
+    /// The time since the configuration was last confirmed by the store. Missing in the messages of
+    /// older versions.
+    #[serde(default)]
+    pub(crate) config_age: Option<Millis>,
     /// Whether the assigner is about to give up its role.
     pub(crate) resigning: bool,
     pub(crate) config: Option<Bytes>,
@@ -122,6 +126,9 @@
     Servers { read_at: Millis, registry: Registry },
     /// The stored table was read while this daemon was starting.
     StoredTable(Bytes),
+    /// Whether a watch of the configuration is about to be sent. None is while it is read, or after
+    /// reading it failed.
+    ConfigWatched(bool),
     /// Whether a watch of the servers is about to be sent. None is if reading them failed or is not
     /// needed.
     ServersWatched(bool),
--- a/crates/oriolehoist_edge/src/control/peer_state.rs
+++ b/crates/oriolehoist_edge/src/control/peer_state.rs
@@ -11,9 +11,6 @@
     oriolehoist_time::Millis,
 };
 
-/// How long after a change of the configuration the assigner sends it to the daemons that have not
-/// noticed it themselves.
-const CONFIG_PUSH_DELAY: Millis = Millis(500);
 /// A message with more entries than this is a large one.
 const BULK_ENTRIES: usize = 64;
 
@@ -50,9 +47,7 @@
     /// Returns the parts of `state` that the peer lacks, or `None` if it lacks none.
     pub(crate) fn missing_parts(&self, now: Millis, state: &ClusterState) -> Option<MissingParts> {
         let (confirmed, versions) = (self.confirmed?, state.versions());
-        // The peers watch the configuration themselves, and most of them notice a change at the same
-        // time.
-        let config_due = now.since(state.config_applied_at) >= CONFIG_PUSH_DELAY;
+        let config_due = now >= state.config_push_at;
         // A peer with a later revision has read the servers itself.
         let servers_differ = confirmed.servers.digest != versions.servers.digest
             && confirmed.servers.revision <= versions.servers.revision;
--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -72,7 +72,10 @@
                 Ok(self.registry.clone())
             }
             Err(error) => {
-                self.failing_since.get_or_insert(started_at);
+                // A watch that was interrupted has not failed before.
+                let failing_since =
+                    if error == StoreError::Interrupted { now() } else { started_at };
+                self.failing_since.get_or_insert(failing_since);
                 Err(error)
             }
         }
--- a/crates/oriolehoist_edge/src/control/store.rs
+++ b/crates/oriolehoist_edge/src/control/store.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{HttpClient, HttpClientOptions},
+        connection::{CallError, HttpClient, HttpClientOptions},
         process::Shared,
     },
     derive_more::Display,
@@ -12,6 +12,8 @@
 
 /// The maximum wait for a response. A slow store takes about 300 ms.
 const CALL_TIMEOUT: Millis = Millis(600);
+/// The maximum wait for the response to a watch after its duration has passed.
+const WATCH_RESPONSE_TIMEOUT: Millis = Millis(400);
 /// The maximum time to establish a connection.
 const CONNECT_TIMEOUT: Millis = Millis(400);
 /// How long an idle connection may be reused.
@@ -23,6 +25,9 @@
     /// Nothing was sent.
     #[display("request not sent")]
     NotSent,
+    /// A long poll was ended because its connection may be silent. It can be repeated.
+    #[display("connection may be silent")]
+    Interrupted,
     /// There was no response. The request may have been executed, or may still be.
     #[display("no response")]
     Lost,
@@ -37,6 +42,15 @@
     Malformed,
 }
 
+/// Which connection a request is sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionChoice {
+    /// An idle one, or a new one if there is none.
+    Any,
+    /// A new one, because those that are open may be silent.
+    New,
+}
+
 /// How a request to the store was sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallTrace {
@@ -65,19 +79,20 @@
 
     /// Sends a request and returns the decoded response.
     pub(crate) async fn call(&self, request: StoreRequest) -> Result<StoreResponse, StoreError> {
-        self.traced_call(request).await.0
+        self.traced_call(request, ConnectionChoice::Any).await.0
     }
 
     /// Sends a request and returns the decoded response, and how the request was sent.
     pub(crate) async fn traced_call(
         &self,
         request: StoreRequest,
+        choice: ConnectionChoice,
     ) -> (Result<StoreResponse, StoreError>, CallTrace) {
         let started_at = self.cx.clock.now();
         let mut trace =
             CallTrace { kind: request.kind(), started_at, ended_at: started_at, reused: None };
         let wait = match &request {
-            StoreRequest::Watch { wait, .. } => *wait + CALL_TIMEOUT,
+            StoreRequest::Watch { wait, .. } => *wait + WATCH_RESPONSE_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
         let response = match request.era() {
@@ -85,9 +100,9 @@
                 biased;
                 // In a later era the store has issued these revisions again, or does not have them.
                 () = self.cx.store_era_after(era) => outdated(&request),
-                response = self.send(&request, wait, &mut trace.reused) => response,
+                response = self.send(&request, wait, choice, &mut trace.reused) => response,
             },
-            None => self.send(&request, wait, &mut trace.reused).await,
+            None => self.send(&request, wait, choice, &mut trace.reused).await,
         };
         trace.ended_at = self.cx.clock.now();
         if let Err(error) = &response {
@@ -124,18 +139,28 @@
         &self,
         request: &StoreRequest,
         wait: Millis,
+        choice: ConnectionChoice,
         reused: &mut Option<bool>,
     ) -> Result<StoreResponse, StoreError> {
         self.cx.metrics.on_store_call(request.kind());
         let http_request = self.cx.platform.encode_store_request(request);
         let address = self.cx.bootstrap.store_address;
-        let connection = self.http.acquire(address).await.map_err(|_| StoreError::NotSent)?;
+        let connection = match choice {
+            ConnectionChoice::Any => self.http.acquire(address).await,
+            ConnectionChoice::New => self.http.connect(address).await,
+        };
+        let connection = connection.map_err(|_| StoreError::NotSent)?;
         *reused = Some(connection.was_used());
-        let response = self
-            .http
-            .send(connection, address, &http_request, wait)
-            .await
-            .map_err(|_| StoreError::Lost)?;
+        let response = match request {
+            StoreRequest::Watch { .. } => {
+                self.http.send_long_poll(connection, address, &http_request, wait).await
+            }
+            _ => self.http.send(connection, address, &http_request, wait).await,
+        };
+        let response = response.map_err(|error| match error {
+            CallError::Suspected => StoreError::Interrupted,
+            _ => StoreError::Lost,
+        })?;
         if let Some(era) = self.cx.platform.decode_store_era(&response.headers) {
             self.cx.observe_store_era(era, request.kind().name());
         }
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -10,11 +10,12 @@
             message::{ConfigSource, Input, Member},
             peers::{broadcast_suspects, fetch_cluster_state},
             servers::ServerReader,
-            store::StoreError,
+            store::{ConnectionChoice, StoreError},
         },
         process::Shared,
     },
     kameo::actor::ActorRef,
+    oriolehoist_log::{Event, report},
     oriolehoist_port::{
         Change, Item, LeaseId, Revision, StoreEra, StoreRequest, StoreResponse, Transaction,
     },
@@ -25,12 +26,14 @@
 
 /// The time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
-/// The maximum duration of a configuration watch for the daemons that notice changes for the
-/// others. It bounds how long a stalled connection goes unnoticed.
-const SHORT_CONFIG_WATCH_TIMEOUT: Millis = Millis(5000);
-/// The maximum duration of a configuration watch for all other daemons, which also get changes from
-/// the assigner.
+/// How much shorter a watch that confirms the configuration is than the time after which that is
+/// stale. The response of a slow store takes about 300 ms.
+const CONFIG_WATCH_MARGIN: Millis = Millis(300);
+/// The maximum duration of a configuration watch for daemons that the assigner tells whether their
+/// configuration is current.
 const LONG_CONFIG_WATCH_TIMEOUT: Millis = Millis(28_000);
+/// The duration of a watch for changes that were already made.
+const CATCH_UP_TIMEOUT: Millis = Millis(1);
 /// The maximum duration of a watch of the members.
 const MEMBERS_WATCH_TIMEOUT: Millis = Millis(8000);
 /// The delay after a failed request.
@@ -104,41 +107,49 @@
         }
     }
 
-    /// Reads the operators' configuration and watches it for changes.
+    /// Reads the operators' configuration and watches it for changes. A watch that waits on a silent
+    /// connection reports none, so a stale configuration is checked over a new one.
     async fn follow_config(self) {
         let key = self.cx.platform.configuration_key();
-        let mut after = None;
+        let mut after: Option<Revision> = None;
+        let mut is_stale = false;
         loop {
-            let Some(revision) = after else {
-                let (response, call) = self.store.traced_call(StoreRequest::Get(key.into())).await;
-                match response {
-                    Ok(StoreResponse::Item { item: Some(item), revision: at }) => {
-                        after = Some(at);
-                        let source = ConfigSource::Store(call);
-                        self.send_input(Input::Config { bytes: item.value, source }).await;
-                    }
-                    _ => sleep(RETRY_DELAY).await,
-                }
-                continue;
+            let plan = self.store_read_plan().await;
+            let wait = match plan {
+                _ if is_stale => CATCH_UP_TIMEOUT,
+                Some(plan) if !plan.confirms_config_itself => LONG_CONFIG_WATCH_TIMEOUT,
+                _ => self.cx.config_stale_after().since(CONFIG_WATCH_MARGIN),
+            };
+            let request = match after {
+                None => StoreRequest::Get(key.into()),
+                Some(after) => StoreRequest::Watch { prefix: key.into(), after, wait },
             };
-            let watch_closely =
-                self.store_read_plan().await.is_none_or(|plan| plan.watches_config_closely);
-            let wait =
-                if watch_closely { SHORT_CONFIG_WATCH_TIMEOUT } else { LONG_CONFIG_WATCH_TIMEOUT };
-            let request = StoreRequest::Watch { prefix: key.into(), after: revision, wait };
+            let waits = after.is_some() && !is_stale;
+            self.send_input(Input::ConfigWatched(waits)).await;
+            let connection = if is_stale { ConnectionChoice::New } else { ConnectionChoice::Any };
             let (response, call) = tokio::select! {
-                result = self.store.traced_call(request) => result,
-                // Without an assigner, nobody would report a change that a stalled watch has
-                // missed.
-                () = self.cx.assigner_lost.notified(), if !watch_closely => {
-                    after = None;
+                result = self.store.traced_call(request, connection) => result,
+                () = self.cx.config_stale(), if waits => {
+                    let age = self.cx.config_age();
+                    report(Event::SettingsStale, format_args!("confirmed_ms={}", age.0));
+                    is_stale = true;
                     continue;
                 }
             };
+            is_stale = false;
             match response {
-                Ok(StoreResponse::Changes { changes, revision: at }) => {
+                Ok(StoreResponse::Item { item: Some(item), revision }) => {
+                    after = Some(revision);
+                    let source = ConfigSource::Store(call);
+                    self.send_input(Input::Config { bytes: item.value, source }).await;
+                }
+                Ok(StoreResponse::Changes { changes, revision }) => {
+                    after = after.max(Some(revision));
+                    // A watch that has waited for its whole duration has read the store after that.
+                    let waited = call.ended_at.since(call.started_at) >= wait;
+                    let read_at = if waited { call.started_at + wait } else { call.started_at };
                     if changes.is_empty() {
-                        self.send_input(Input::ConfigConfirmed(call.started_at)).await;
+                        self.send_input(Input::ConfigConfirmed(read_at)).await;
                     }
                     for change in changes {
                         if let Change::Written(item) = change {
@@ -146,15 +157,15 @@
                             self.send_input(Input::Config { bytes: item.value, source }).await;
                         }
                     }
-                    after = Some(at.max(revision));
                 }
-                // The store has discarded the history since `revision`. The configuration is read
+                Err(StoreError::Interrupted) => {}
+                // The store has discarded the history since `after`. The configuration is read
                 // again, and the watch continues from there.
-                Ok(_) => {
+                Ok(StoreResponse::HistoryCompacted) => {
                     after = None;
                     sleep(HISTORY_LOST_DELAY).await;
                 }
-                Err(_) => {
+                _ => {
                     // A change may have been missed, so the configuration is read again.
                     after = None;
                     sleep(RETRY_DELAY).await;
@@ -196,9 +207,11 @@
                         sleep(SERVERS_READ_INTERVAL).await;
                     }
                 }
-                Err(_) => {
+                Err(error) => {
                     self.send_input(Input::ServersWatched(false)).await;
-                    sleep(RETRY_DELAY).await;
+                    if error != StoreError::Interrupted {
+                        sleep(RETRY_DELAY).await;
+                    }
                 }
             }
         }
@@ -220,6 +233,7 @@
             };
             after = match result {
                 Ok(revision) => Some(revision),
+                Err(StoreError::Interrupted) => after,
                 Err(StoreError::HistoryCompacted) => None,
                 Err(_) => {
                     sleep(RETRY_DELAY).await;
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -20,8 +20,12 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
+        time::Duration,
+    },
+    tokio::{
+        sync::{broadcast, watch},
+        time::sleep,
     },
-    tokio::sync::{Notify, broadcast, watch},
 };
 
 /// How long after the shutdown request connections from callers stay open. By then the load balancer
@@ -31,6 +35,9 @@
 /// distributed among the daemons.
 const RETRY_BUDGET_FACTOR: f64 = 0.7;
 
+/// How long reading the configuration over a new connection may take, and putting it in force.
+const CONFIG_READ_MARGIN: Millis = Millis(500);
+
 /// The maximum time to establish a connection to a peer.
 const PEER_CONNECT_TIMEOUT: Millis = Millis(250);
 /// How long an idle connection to a peer may be reused.
@@ -64,12 +71,11 @@
     pub(crate) metrics: Metrics,
     pub(crate) view: Published<View>,
     pub(crate) ready: AtomicBool,
-    /// Notified when contact with the assigner is lost.
-    pub(crate) assigner_lost: Notify,
     stopping: AtomicBool,
     stopping_since: AtomicU64,
     caller_connections: AtomicUsize,
     servers_confirmed_at: AtomicU64,
+    config_confirmed_at: AtomicU64,
     /// The latest known era of the store, if any response named one.
     store_era: watch::Sender<Option<ObservedEra>>,
     retry_budgets: Mutex<RetryBudgets<SmolStr>>,
@@ -104,11 +110,11 @@
             metrics: Metrics::new()?,
             view: Published::default(),
             ready: AtomicBool::new(false),
-            assigner_lost: Notify::new(),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
             caller_connections: AtomicUsize::new(0),
             servers_confirmed_at: AtomicU64::new(0),
+            config_confirmed_at: AtomicU64::new(0),
             store_era: watch::Sender::default(),
             retry_budgets: Mutex::default(),
             crash_suspects: Mutex::new(CrashSuspects::with_quarantine_threshold(
@@ -148,6 +154,33 @@
         self.clock.now().since(Millis(self.servers_confirmed_at.load(Ordering::Relaxed)))
     }
 
+    /// Sets the latest time at which the configuration is known to have been the store's.
+    pub(crate) fn set_config_confirmed_at(&self, at: Millis) {
+        self.config_confirmed_at.store(at.0, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the configuration was last known to be the store's.
+    pub(crate) fn config_age(&self) -> Millis {
+        self.clock.now().since(Millis(self.config_confirmed_at.load(Ordering::Relaxed)))
+    }
+
+    /// Returns the age at which the configuration is stale and is read again, early enough that a
+    /// change is in force in time.
+    pub(crate) fn config_stale_after(&self) -> Millis {
+        self.bootstrap.bounds.config_propagation.since(CONFIG_READ_MARGIN).max(CONFIG_READ_MARGIN)
+    }
+
+    /// Waits until the configuration is stale.
+    pub(crate) async fn config_stale(&self) {
+        loop {
+            let remaining = self.config_stale_after().since(self.config_age());
+            if remaining == Millis::ZERO {
+                return;
+            }
+            sleep(Duration::from(remaining)).await;
+        }
+    }
+
     /// Returns the latest known era of the store, if any response named one.
     pub(crate) fn store_era(&self) -> Option<StoreEra> {
         self.observed_store_era().map(|observed| observed.era)
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -63,6 +63,8 @@
     StoreEraChanged = 2010, Info;
     /// A call to the store, to another daemon or to a server got no response in time.
     CallTimedOut = 2011, Info;
+    /// The configuration was not confirmed in time, and is checked over a new connection.
+    SettingsStale = 2012, Info;
     /// This daemon won a term as the assigner of a service.
     TermWon = 3001, Info;
     /// Another daemon holds a higher term, and this one is no longer the assigner.
--- a/crates/oriolehoist_port/src/boot.rs
+++ b/crates/oriolehoist_port/src/boot.rs
@@ -32,6 +32,8 @@
 pub struct OperationalBounds {
     /// How long a backend server may still receive requests after it announced that it is draining.
     pub drain_period: Millis,
+    /// How soon after the store has accepted it a configuration has to be in force everywhere.
+    pub config_propagation: Millis,
     /// How long a process may keep running after it was asked to stop.
     pub shutdown_grace: Millis,
     /// The longest duration for which a backend server may be granted keys.
