Close idle connections to a server that may be as silent as the one of a lost request

With all connections to a server silent, each request that took an idle one from the pool was lost, one after the other, until the pool was empty: with four idle connections, 4 of 4.

When a request gets no response until its deadline, or its caller leaves after more than 0.5 s, the idle connections to that server are closed that have received nothing since it was sent.

--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -185,6 +185,17 @@
         matches!(result, Err(CallError::Connect(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Returns the time since `earlier`.
+    pub(crate) fn elapsed_since(&self, earlier: Millis) -> Millis {
+        self.clock.now().since(earlier)
+    }
+
+    /// Closes the idle connections that have received nothing since a request was sent that got no
+    /// response. They may be silent as well.
+    pub(crate) fn close_silent(&self, sent_at: Millis) {
+        self.pool.close_silent(self.address, sent_at);
+    }
+
     /// Returns a connection to the pool.
     fn release(&self, connection: ClientConnection, keep_alive_secs: Option<u64>) {
         let timeout = match keep_alive_secs {
--- a/crates/oriolehoist_edge/src/request/exchange.rs
+++ b/crates/oriolehoist_edge/src/request/exchange.rs
@@ -10,7 +10,8 @@
     oriolehoist_admission::{InFlightOutcome, InFlightRequest},
     oriolehoist_http1::encode_request,
     oriolehoist_port::HttpResponse,
-    std::{sync::Arc, time::Duration},
+    oriolehoist_time::Millis,
+    std::{io, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -18,6 +19,10 @@
 /// the expected one.
 const MISDIRECTED: u16 = 421;
 
+/// If a caller leaves after waiting this long, the connection to the server may be silent. A server's
+/// response takes longer only if it is overloaded.
+const SILENCE_THRESHOLD: Millis = Millis(500);
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum AttemptOutcome {
@@ -44,10 +49,16 @@
     in_flight: InFlightRequest,
     outcome: InFlightOutcome,
     reported_load: Option<u32>,
+    sent_at: Millis,
+    /// Whether the attempt has ended. If not, the caller has left.
+    has_ended: bool,
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
+        if !self.has_ended && self.backend.elapsed_since(self.sent_at) >= SILENCE_THRESHOLD {
+            self.backend.close_silent(self.sent_at);
+        }
         self.backend.on_completed(self.in_flight, self.outcome, self.reported_load);
     }
 }
@@ -73,12 +84,15 @@
         in_flight,
         outcome: InFlightOutcome::Inconclusive,
         reported_load: None,
+        sent_at: now,
+        has_ended: false,
     };
     let mut send_state = SendState::NotSent;
     let sending =
         backend.send(&request.method, message, (&names.request_id, &request.id), &mut send_state);
     let result = timeout(Duration::from(remaining), sending).await;
     let result = result.unwrap_or(Err(CallError::TimedOut));
+    guard.has_ended = true;
     match result {
         Ok(received) => {
             let response = received.response;
@@ -102,6 +116,7 @@
         }
         Err(CallError::TimedOut) if send_state == SendState::MaybeSent => {
             guard.outcome = InFlightOutcome::Lost;
+            backend.close_silent(now);
             AttemptOutcome::TimedOut
         }
         // No connection could be established. A server resets connections when it has too many, so
@@ -110,6 +125,11 @@
             guard.outcome = InFlightOutcome::Shed;
             AttemptOutcome::NotSent
         }
+        // The sent data was not acknowledged in time.
+        Err(CallError::Io(error)) if error.kind() == io::ErrorKind::TimedOut => {
+            backend.close_silent(now);
+            AttemptOutcome::NoResponse("the connection is silent")
+        }
         Err(CallError::InvalidResponse(reason)) => AttemptOutcome::NoResponse(reason),
         Err(_) => AttemptOutcome::NoResponse("the connection failed"),
     }
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -155,15 +155,37 @@
     ///
     /// Returns an error if its address is taken.
     pub async fn add_server(&mut self, index: u8, service: &str) -> eyre::Result<()> {
+        let server = self.start_server(index, service).await?;
+        self.register(&server, service, "ready");
+        self.servers.push(server);
+        Ok(())
+    }
+
+    /// Starts a backend server, and registers it at the address of a proxy in front of it. Returns
+    /// the name of that edge of the network.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address is taken.
+    pub async fn add_server_behind_proxy(
+        &mut self,
+        index: u8,
+        service: &str,
+    ) -> eyre::Result<String> {
+        let server = self.start_server(index, service).await?;
+        let (edge, address) = (format!("server-{index}"), self.address(100 + index, 8081));
+        self.network.add_edge(&edge, address, server.address).await?;
+        self.register_at(&server.id, address, server.born, service, "ready");
+        self.servers.push(server);
+        Ok(edge)
+    }
+
+    async fn start_server(&self, index: u8, service: &str) -> eyre::Result<Server> {
         let id = format!("i-{index}");
         let address = self.address(100 + index, 8080);
         let (journal, grant_registry) = (self.journal.clone(), self.grant_registry.clone());
         let sharded = service == "keyed";
-        let server =
-            Server::start(&id, address, sharded, SERVICE_TIME, journal, grant_registry).await?;
-        self.register(&server, service, "ready");
-        self.servers.push(server);
-        Ok(())
+        Server::start(&id, address, sharded, SERVICE_TIME, journal, grant_registry).await
     }
 
     /// Crashes a server, and starts another one at its address once `down` has passed, under `id` or
--- a/tests/users_platform/silent_connections.rs
+++ b/tests/users_platform/silent_connections.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::load::*,
+    futures::future::join_all,
     googletest::prelude::*,
     oriolehoist_testkit::{fault::Fault, users_platform::*},
+    reqwest::Method,
     std::{
         net::IpAddr,
         time::{Duration, Instant},
@@ -83,3 +85,25 @@
     clean_up(deployment);
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_to_a_server_cost_no_more_than_one_request() -> eyre::Result<()> {
+    let mut deployment = deployment(1, 1, 0).await?;
+    let edge = deployment.add_server_behind_proxy(5, "plain").await?;
+    sleep(SECOND).await;
+    let daemon = deployment.daemons[0].caller_address;
+    let client = Client::new(HOST, "idle")?;
+    let request = || client.send(daemon, Method::GET, "/p/a", None, SECOND);
+    // Each of the requests that run at the same time needs a connection to the server.
+    let responses = join_all((0..4).map(|_| request())).await;
+    expect_that!(responses.iter().filter(|response| response.is_served()).count(), eq(4));
+    deployment.network.add_fault(None, &edge, Fault::StallOpenConnections);
+    let mut lost = 0;
+    for _ in 0..4 {
+        lost += u32::from(!request().await.is_served());
+    }
+    expect_that!(lost, le(1));
+    clean_up(deployment);
+    Ok(())
+}
