Notice within 5 s that a watch of the settings waits on a silent connection

With the open connections of all daemons to the store silent, a new version of the settings was in force nowhere after 6.8 s; the bound is 5 s.

A poll now lasts 3 s.

--- a/crates/oriolehoist_daemon/src/control/tasks.rs
+++ b/crates/oriolehoist_daemon/src/control/tasks.rs
@@ -28,8 +28,9 @@
 const INITIAL_HELLO_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two reads of the platform's list of instances.
 const INSTANCE_LIST_INTERVAL: Duration = Duration::from_millis(1000);
-/// How long a watch on the store waits for a change.
-const WATCH_TIMEOUT: Millis = Millis::from_secs(20);
+/// How long a watch on the store waits for a change. Its connection may go silent without a reset,
+/// and a version has to be in force within 5 s nevertheless.
+const WATCH_TIMEOUT: Millis = Millis::from_secs(3);
 /// Delay before the next call to an unavailable store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Timeout for a peer's response.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -83,6 +83,7 @@
     settings_daemon_paused_across_versions
     settings_lost_replies
     settings_racing_operators
+    settings_silent_connections
     settings_stale_store
     settings_store_away
     store_calls_are_few
