--- a/crates/oriolehoist_testkit/src/users_platform/server.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/server.rs
@@ -39,6 +39,17 @@
     pub response_loss_rate: f64,
     /// The share of grants that get no response and are applied one second late.
     pub delayed_grant_rate: f64,
+    /// The values of the header in which the server names the requests a second that it takes.
+    pub rate_limits: Vec<String>,
+}
+
+/// One request that reached a server, whether it ran or was rejected. Orders are not counted.
+#[derive(Clone, Debug)]
+pub struct ArrivedRequest {
+    /// The id of the server.
+    pub server: String,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 /// One request that a server ran.
@@ -88,6 +99,7 @@
     /// The task that accepts connections. Set as soon as the task runs.
     listener: OnceLock<AbortHandle>,
     journal: Journal,
+    arrivals: Mutex<Vec<ArrivedRequest>>,
     /// The grants of all servers of the deployment, to detect overlaps as they happen.
     registry: GrantRegistry,
 }
@@ -141,6 +153,7 @@
             dead: AtomicBool::new(false),
             listener: OnceLock::new(),
             journal,
+            arrivals: Mutex::default(),
             registry,
         });
         let router = Router::new()
@@ -208,6 +221,11 @@
         self.inner.checks_orders.load(Ordering::Relaxed)
     }
 
+    /// Returns all requests that reached the server.
+    pub fn arrivals(&self) -> Vec<ArrivedRequest> {
+        lock(&self.inner.arrivals).clone()
+    }
+
     /// Returns whether the server's service is sharded.
     pub fn is_sharded(&self) -> bool {
         self.inner.sharded
@@ -319,9 +337,18 @@
     }
 }
 
-/// Adds the server's id to a response.
+/// Records a request that is not an order, and adds the server's id and its limit to the response.
 async fn name_sender(State(inner): State<Arc<Inner>>, request: Request, next: Next) -> Response {
+    if !request.uri().path().starts_with("/v1/") {
+        let arrived = ArrivedRequest { server: inner.id.clone(), at: Instant::now() };
+        lock(&inner.arrivals).push(arrived);
+    }
     let mut response = next.run(request).await;
+    for limit in &lock(&inner.faults).rate_limits {
+        if let Ok(limit) = limit.parse() {
+            response.headers_mut().append("server-limit", limit);
+        }
+    }
     if let Ok(id) = inner.id.parse() {
         response.headers_mut().insert("x-instance-id", id);
     }
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -4,6 +4,7 @@
 mod assigner;
 mod load;
 mod log_lines;
+mod rate_limits;
 mod requests;
 mod servers;
 mod silent_connections;
