Promise callers of a limited server only this daemon's part of its tokens

A caller whose request does not fit the rate that a server takes is told when there will be room.

A daemon now reckons with its part of the demand, which the reports show. The new test, with two daemons of equal demand, gave 2.2 s for the tenth caller before, and gives about 4 s now.

--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -26,6 +26,8 @@
 /// The time until a daemon knows of a request that another one has sent: one interval between
 /// reports, and their way.
 const REPORT_DELAY_SECONDS: f64 = 0.06;
+/// The least part of the demand that a daemon assumes to be its own.
+const MIN_SHARE: f64 = 0.01;
 /// The time constant of the measured demand, in seconds.
 const DEMAND_TIME_CONSTANT: f64 = 1.0;
 
@@ -42,10 +44,12 @@
     /// When the response that said so was received, by any daemon.
     stated_at: Millis,
     tokens: f64,
-    /// Tokens that are promised to requests that were told when to return.
+    /// Tokens that this daemon has promised to requests that were told when to return.
     promised: f64,
     /// Requests per second of all daemons.
     demand: f64,
+    /// Requests per second of this daemon.
+    own_demand: f64,
     updated_at: Millis,
     /// This daemon's requests since it first knew of a limit.
     own: RequestCounts,
@@ -89,6 +93,7 @@
             tokens: 0.0,
             promised: 0.0,
             demand: 0.0,
+            own_demand: 0.0,
             updated_at: Millis::ZERO,
             own: RequestCounts::default(),
             daemons: 1,
@@ -149,7 +154,10 @@
         self.refill(now);
         let missing = 1.0 + TOKENS_PER_RANK * f64::from(rank.min(MAX_RANK)) - self.tokens;
         match missing > 0.0 {
-            true => Millis(((missing + self.promised) / rate * 1000.0).ceil() as u64),
+            true => {
+                let seconds = missing / rate + self.promised / (rate * self.own_share());
+                Millis((seconds * 1000.0).ceil() as u64)
+            }
             false => Millis::ZERO,
         }
     }
@@ -164,6 +172,7 @@
         let wait = self.wait(now, rank);
         self.own.asked = self.own.asked.wrapping_add(1);
         self.count_demand(1.0);
+        self.own_demand += 1.0 / DEMAND_TIME_CONSTANT;
         // Of the requests that would take the same token before the daemons know of each other, one
         // is admitted on average.
         let contenders = self.demand * REPORT_DELAY_SECONDS;
@@ -203,8 +212,18 @@
         self.updated_at = self.updated_at.max(now);
         let capacity = (rate * MAX_TOKENS_SECONDS).max(MIN_CAPACITY);
         self.tokens = (self.tokens + rate * seconds).min(capacity);
-        self.promised = (self.promised - rate * seconds).max(0.0);
-        self.demand *= (-seconds / DEMAND_TIME_CONSTANT).exp();
+        self.promised = (self.promised - rate * self.own_share() * seconds).max(0.0);
+        let decay = (-seconds / DEMAND_TIME_CONSTANT).exp();
+        self.demand *= decay;
+        self.own_demand *= decay;
+    }
+
+    /// Returns this daemon's part of the demand, and so of the tokens that it may promise.
+    fn own_share(&self) -> f64 {
+        match self.demand > 0.0 {
+            true => (self.own_demand / self.demand).clamp(MIN_SHARE, 1.0),
+            false => 1.0,
+        }
     }
 
     fn take(&mut self, tokens: f64) {
--- a/crates/oriolehoist_admission/tests/rate_limit.rs
+++ b/crates/oriolehoist_admission/tests/rate_limit.rs
@@ -204,6 +204,27 @@
     expect_that!(limit.try_take(Millis(350), 0, 0.0), ok(eq(())));
 }
 
+#[gtest]
+fn daemons_together_promise_no_more_tokens_than_there_will_be() {
+    let mut limit = SharedRateLimit::<usize>::default();
+    limit.set_daemons(2);
+    limit.on_response(Millis(100), Millis(50), Some(4.0));
+    let report = |asked| RateReport {
+        limit: Some(4.0),
+        age: Millis(10),
+        counts: RequestCounts { sent: 0, asked },
+    };
+    limit.on_report(Millis(100), 0, report(0));
+    limit.on_report(Millis(101), 0, report(10));
+    // The other daemon gets as many requests, and promises as many tokens.
+    let waits: Vec<u64> = (0..10)
+        .filter_map(|_| limit.try_take(Millis(101), 0, 0.0).err())
+        .map(|wait| wait.0)
+        .collect();
+    // Eight tokens after the first one: four seconds for two daemons, two for one alone.
+    expect_that!(waits.last(), some(all![ge(&3500), le(&4500)]));
+}
+
 #[gtest]
 fn requests_of_a_daemon_that_was_restarted_are_counted() {
     let mut limit = SharedRateLimit::<usize>::default();
