--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -70,7 +70,7 @@
 }
 
 async fn metrics(State(cx): State<Arc<Shared>>) -> Response {
-    cx.metrics.set_servers_age(cx.servers_age());
+    cx.metrics.set_ages(cx.servers_age(), cx.config_age());
     match cx.metrics.render() {
         Ok(text) => text.into_response(),
         Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
--- a/crates/oriolehoist_edge/src/process/metrics.rs
+++ b/crates/oriolehoist_edge/src/process/metrics.rs
@@ -24,6 +24,7 @@
     server_limits: IntCounterVec,
     endless_responses: IntCounter,
     servers_age: IntGauge,
+    config_age: IntGauge,
     store_era: IntGauge,
 }
 
@@ -65,6 +66,10 @@
                 "oriolehoist_servers_age_milliseconds",
                 "The time since the list of servers was last confirmed.",
             )?,
+            config_age: IntGauge::new(
+                "oriolehoist_settings_age_milliseconds",
+                "The time since the configuration was last confirmed.",
+            )?,
             store_era: IntGauge::new("oriolehoist_store_era", "The era of the store's data.")?,
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
@@ -77,6 +82,7 @@
         metrics.registry.register(Box::new(metrics.endless_responses.clone()))?;
         metrics.registry.register(Box::new(metrics.sync_bytes.clone()))?;
         metrics.registry.register(Box::new(metrics.servers_age.clone()))?;
+        metrics.registry.register(Box::new(metrics.config_age.clone()))?;
         metrics.registry.register(Box::new(metrics.store_era.clone()))?;
         Ok(metrics)
     }
@@ -118,9 +124,13 @@
         self.endless_responses.inc();
     }
 
-    /// Sets the age of the list of servers.
-    pub(crate) fn set_servers_age(&self, age: Millis) {
-        self.servers_age.set(i64::try_from(age.0).unwrap_or(i64::MAX));
+    /// Sets the ages of the list of servers and of the configuration.
+    pub(crate) fn set_ages(&self, servers: Millis, config: Millis) {
+        let set = |gauge: &IntGauge, age: Millis| {
+            gauge.set(i64::try_from(age.0).unwrap_or(i64::MAX));
+        };
+        set(&self.servers_age, servers);
+        set(&self.config_age, config);
     }
 
     /// Sets the era of the store.
