Reproduce what servers that leave or pause still get

A server that says Server-Leaving in all responses while its registration stays ready may get no request that a caller sent later than the drain period after the daemon had passed that on. Nothing that is malformed in these headers was logged.

The stand-in's servers record who sent a request and what the response said.

--- a/crates/oriolehoist_testkit/src/users_platform/mod.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/mod.rs
@@ -16,7 +16,7 @@
     deployment::{Deployment, HOST, STORE_EDGE},
     grants::AcceptedGrant,
     raw_server::{RawServer, ResponseFault},
-    server::{ArrivedRequest, ExecutedRequest, Server, ServerFaults},
+    server::{ArrivedRequest, ExecutedRequest, Server, ServerFaults, TurnAway},
     store::Store,
     store_state::{StoreFaults, StoreSnapshot},
 };
--- a/crates/oriolehoist_testkit/src/users_platform/server.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/server.rs
@@ -9,14 +9,14 @@
         Router,
         body::Body,
         extract::{ConnectInfo, Request, State},
-        http::{HeaderMap, StatusCode},
+        http::{HeaderMap, HeaderValue, StatusCode, header::RETRY_AFTER},
         middleware::{Next, from_fn_with_state},
         response::{IntoResponse, Response},
         routing::post,
     },
     serde::Deserialize,
     std::{
-        net::{self, SocketAddr},
+        net::{self, IpAddr, SocketAddr},
         sync::{
             Arc, Mutex, OnceLock,
             atomic::{AtomicBool, Ordering},
@@ -41,6 +41,21 @@
     pub delayed_grant_rate: f64,
     /// The values of the header in which the server names the requests a second that it takes.
     pub rate_limits: Vec<String>,
+    /// The values of the header in which the server says that it leaves. All its responses have it.
+    pub leaving: Vec<String>,
+    /// How the server turns away all requests, if it does.
+    pub turn_away: Option<TurnAway>,
+}
+
+/// How a server turns requests away.
+#[derive(Clone, Debug)]
+pub struct TurnAway {
+    /// The status of its responses.
+    pub status: u16,
+    /// Whether they say that the request was not run.
+    pub says_not_run: bool,
+    /// The values of the header that says when to come back.
+    pub retry_after: Vec<String>,
 }
 
 /// One request that reached a server, whether it ran or was rejected. Orders are not counted.
@@ -48,8 +63,16 @@
 pub struct ArrivedRequest {
     /// The id of the server.
     pub server: String,
+    /// The request's id.
+    pub request_id: String,
+    /// The address of the daemon that sent it.
+    pub sender: IpAddr,
     /// When it arrived.
     pub at: Instant,
+    /// Whether the response says that the server leaves.
+    pub says_leaving: bool,
+    /// Whether it was turned away.
+    pub turned_away: bool,
 }
 
 /// One request that a server ran.
@@ -337,16 +360,37 @@
     }
 }
 
-/// Records a request that is not an order, and adds the server's id and its limit to the response.
-async fn name_sender(State(inner): State<Arc<Inner>>, request: Request, next: Next) -> Response {
-    if !request.uri().path().starts_with("/v1/") {
-        let arrived = ArrivedRequest { server: inner.id.clone(), at: Instant::now() };
-        lock(&inner.arrivals).push(arrived);
+/// Records a request that is not an order, and turns it away if the server does so. Adds the server's
+/// id and what it says about itself to the response.
+async fn name_sender(
+    State(inner): State<Arc<Inner>>,
+    ConnectInfo(sender): ConnectInfo<SocketAddr>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let is_order = request.uri().path().starts_with("/v1/");
+    let faults = lock(&inner.faults).clone();
+    let turn_away = faults.turn_away.filter(|_| !is_order);
+    if !is_order {
+        let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+        lock(&inner.arrivals).push(ArrivedRequest {
+            server: inner.id.clone(),
+            request_id: id.unwrap_or_default().to_owned(),
+            sender: sender.ip(),
+            at: Instant::now(),
+            says_leaving: !faults.leaving.is_empty(),
+            turned_away: turn_away.is_some(),
+        });
     }
-    let mut response = next.run(request).await;
-    for limit in &lock(&inner.faults).rate_limits {
-        if let Ok(limit) = limit.parse() {
-            response.headers_mut().append("server-limit", limit);
+    let mut response = match turn_away {
+        Some(turn_away) => turned_away(&turn_away),
+        None => next.run(request).await,
+    };
+    let named = faults.rate_limits.iter().map(|limit| ("server-limit", limit));
+    let leaving = faults.leaving.iter().map(|leaving| ("server-leaving", leaving));
+    for (name, value) in named.chain(leaving) {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().append(name, value);
         }
     }
     if let Ok(id) = inner.id.parse() {
@@ -355,6 +399,21 @@
     response
 }
 
+/// Returns the response to a request that is turned away.
+fn turned_away(turn_away: &TurnAway) -> Response {
+    let status = StatusCode::from_u16(turn_away.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let mut response = status.into_response();
+    if turn_away.says_not_run {
+        response.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
+    }
+    for value in &turn_away.retry_after {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().append(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
 fn misdirected() -> Response {
     (StatusCode::MISDIRECTED_REQUEST, [("x-not-executed", "1")]).into_response()
 }
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -7,6 +7,7 @@
 mod log_lines;
 mod rate_limits;
 mod requests;
+mod server_statements;
 mod servers;
 mod silent_connections;
 mod store;
