Heed servers that say that they leave, or when to come back

What a server says of itself was spread over an own place for each header.

StatedAvailability now holds all of it for one incarnation of a server: that it leaves, a pause, and the shared rate limit. The adapter decodes the heads of all responses, also to orders. The binding is checked when a server is selected, and again once a connection is open, so requests that wait are covered. The assigner moves the keys of a server that says it leaves. What a server without a registration has said is kept for ten minutes.

--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -20,6 +20,7 @@
 //! assert!(matches!(controller.admit(Millis(0), request), Admission::Refused(_)));
 //! ```
 
+mod availability;
 mod class;
 mod controller;
 mod crash_suspects;
@@ -30,6 +31,7 @@
 mod retry;
 
 pub use {
+    availability::StatedAvailability,
     class::Class,
     controller::{
         Admission, AdmissionController, AdmissionLimits, AdmissionRefusal, Completion, Dequeued,
--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -7,7 +7,7 @@
     },
     bytes::Bytes,
     http::{HeaderName, HeaderValue, Method},
-    oriolehoist_admission::{InFlightOutcome, InFlightRequest, LoadEstimator, SharedRateLimit},
+    oriolehoist_admission::{InFlightOutcome, InFlightRequest, LoadEstimator, StatedAvailability},
     oriolehoist_keyspace::ServerIncarnation,
     oriolehoist_port::{DecodeError, RegisteredServer},
     oriolehoist_time::{Clock, Millis},
@@ -41,6 +41,9 @@
 /// How long a server gets no requests after another process has answered at its address. Its
 /// registration may outlive it by some seconds.
 const ADDRESS_REUSED_DURATION: Millis = Millis(1000);
+/// How long what a server has said is remembered after its registration is gone. It may be back while
+/// the process still runs.
+const DEPARTED_RETENTION: Millis = Millis::from_secs(600);
 /// A server that has just started is slower than normal by about this factor.
 const COLD_START_FACTOR: u64 = 2;
 
@@ -56,11 +59,13 @@
     clock: Clock,
     pool: IdlePool,
     load_estimator: Mutex<LoadEstimator>,
-    /// The rate of requests that the server takes, with the reports of the other daemons by their
-    /// address.
-    rate_limit: Mutex<SharedRateLimit<SocketAddr>>,
-    /// Why the limit that the server named last can't be used, if it can't.
-    malformed_limit: Mutex<Option<DecodeError>>,
+    /// What the server has said about the requests that it takes, with the reports of the other
+    /// daemons by their address.
+    availability: Mutex<StatedAvailability<SocketAddr>>,
+    /// Why what the server said last can't be used, by subject.
+    malformed_statements: Mutex<HashMap<&'static str, DecodeError>>,
+    /// How long it gets requests after it has said that it leaves.
+    drain_period: Millis,
     /// The maximum number of connections that this daemon may open to the server.
     connection_limit: AtomicU32,
     /// The earliest time at which the server may have started to drain, or [`NOT_DRAINING`].
@@ -72,7 +77,7 @@
 }
 
 impl Backend {
-    fn new(source: IpAddr, clock: Clock, entry: &RegisteredServer) -> Backend {
+    fn new(cx: BackendContext, entry: &RegisteredServer) -> Backend {
         let service_time = match entry.warm_up_remaining {
             Millis::ZERO => INITIAL_SERVICE_TIME,
             _ => INITIAL_SERVICE_TIME * COLD_START_FACTOR,
@@ -84,12 +89,13 @@
             incarnation: ServerIncarnation::of(entry),
             address: entry.address,
             zone: entry.zone.clone(),
-            source,
-            clock,
+            source: cx.source,
+            clock: cx.clock,
+            drain_period: cx.drain_period,
             pool: IdlePool::default(),
             load_estimator: Mutex::new(LoadEstimator::new(entry.slots, service_time)),
-            rate_limit: Mutex::default(),
-            malformed_limit: Mutex::default(),
+            availability: Mutex::default(),
+            malformed_statements: Mutex::default(),
             connection_limit: AtomicU32::new(entry.slots),
             draining_since: AtomicU64::new(NOT_DRAINING),
             address_reused_until: AtomicU64::new(0),
@@ -102,14 +108,20 @@
         lock(&self.load_estimator)
     }
 
-    /// Returns the rate of requests that the server takes.
-    pub(crate) fn rate_limit(&self) -> MutexGuard<'_, SharedRateLimit<SocketAddr>> {
-        lock(&self.rate_limit)
+    /// Returns what the server has said about the requests that it takes.
+    pub(crate) fn availability(&self) -> MutexGuard<'_, StatedAvailability<SocketAddr>> {
+        lock(&self.availability)
     }
 
-    /// Records that the server named a limit that can't be used. Returns whether that is news.
-    pub(crate) fn on_malformed_limit(&self, error: &DecodeError) -> bool {
-        lock(&self.malformed_limit).replace(error.clone()).as_ref() != Some(error)
+    /// Returns whether the server wants requests from this daemon, as far as it has said.
+    pub(crate) fn admits_requests(&self) -> bool {
+        self.availability().admits(self.clock.now(), self.drain_period)
+    }
+
+    /// Records that the server said something that can't be used. Returns whether that is news.
+    pub(crate) fn on_malformed_statement(&self, error: &DecodeError) -> bool {
+        let mut malformed = lock(&self.malformed_statements);
+        malformed.insert(error.subject, error.clone()).as_ref() != Some(error)
     }
 
     /// Records the end of a request.
@@ -171,6 +183,10 @@
             Some(connection) => connection,
             None => self.connect().await?,
         };
+        // The server may have said so while the connection was established.
+        if !self.admits_requests() {
+            return Err(CallError::Unwanted);
+        }
         let result = connection.send(method, message, Some(request_id), send_state).await;
         match &result {
             Ok(response) if response.reusable => self.release(connection, response.keep_alive_secs),
@@ -223,20 +239,33 @@
     }
 }
 
+/// What all backend servers of a daemon have in common.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BackendContext {
+    /// The local address for connections to servers.
+    pub(crate) source: IpAddr,
+    pub(crate) clock: Clock,
+    /// How long a server gets requests after it has said that it leaves.
+    pub(crate) drain_period: Millis,
+}
+
 /// The known backend servers. Entries are carried over from one version of the view to the next, so
 /// that pooled connections and load estimates are kept.
 #[derive(Debug, Default)]
 pub(crate) struct Backends {
-    by_incarnation: HashMap<(ServerIncarnation, SocketAddr), Arc<Backend>>,
+    by_incarnation: HashMap<BackendKey, Arc<Backend>>,
+    /// Those without a registration that have said that they leave or pause, and since when.
+    departed: HashMap<BackendKey, (Millis, Arc<Backend>)>,
 }
 
+type BackendKey = (ServerIncarnation, SocketAddr);
+
 impl Backends {
     /// Returns the backends for `entries` by server id, and drops all others. `draining_since`
     /// contains the earliest time at which each draining one may have started to drain.
     pub(crate) fn update(
         &mut self,
-        source: IpAddr,
-        clock: Clock,
+        cx: BackendContext,
         entries: &[RegisteredServer],
         draining_since: &HashMap<ServerIncarnation, Millis>,
     ) -> HashMap<SmolStr, Arc<Backend>> {
@@ -247,12 +276,17 @@
             let draining_since = draining_since.get(&incarnation).copied();
             let key = (incarnation, entry.address);
             let existing = self.by_incarnation.remove(&key);
-            let backend = existing.unwrap_or_else(|| Arc::new(Backend::new(source, clock, entry)));
+            let existing = existing.or_else(|| self.departed.remove(&key).map(|entry| entry.1));
+            let backend = existing.unwrap_or_else(|| Arc::new(Backend::new(cx, entry)));
             backend.set_draining_since(draining_since);
             by_id.insert(entry.id.clone(), Arc::clone(&backend));
             next.insert(key, backend);
         }
-        self.by_incarnation = next;
+        let now = cx.clock.now();
+        self.departed.retain(|_, (since, _)| now.since(*since) < DEPARTED_RETENTION);
+        let gone = std::mem::replace(&mut self.by_incarnation, next);
+        let bound = gone.into_iter().filter(|(_, backend)| !backend.availability().is_unbound(now));
+        self.departed.extend(bound.map(|(key, backend)| (key, (now, backend))));
         by_id
     }
 }
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -60,6 +60,9 @@
     /// The response did not arrive in time.
     #[display("request timed out")]
     TimedOut,
+    /// The server has said that it wants no requests at the moment. Nothing was sent.
+    #[display("the server wants no requests")]
+    Unwanted,
     /// Another call timed out, and nothing has arrived on the connection since that one was sent.
     #[display("connection may be silent")]
     Suspected,
--- a/crates/oriolehoist_edge/src/connection/mod.rs
+++ b/crates/oriolehoist_edge/src/connection/mod.rs
@@ -10,7 +10,7 @@
 mod silence;
 
 pub(crate) use {
-    backend::{Backend, Backends},
+    backend::{Backend, BackendContext, Backends},
     callers::serve_callers,
     client::{HttpClient, HttpClientOptions},
     client_connection::{CallError, ClientConnection, SendState},
--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -20,7 +20,7 @@
     kameo::actor::ActorRef,
     oriolehoist_keyspace::{
         AssignmentTable, DEFAULT_GRANT_DURATION, FenceCounter, KeyRoutes, LoadReport, OrderId,
-        OrderOutcome, RangeAssigner,
+        OrderOutcome, RangeAssigner, StatedNeeds,
     },
     oriolehoist_log::{Event, report},
     oriolehoist_port::{LeaseId, Revision, StoreRequest, StoreResponse},
@@ -44,8 +44,8 @@
 const SERVERS_SETTLE_TIME: Millis = Millis(1500);
 /// How long after its start a daemon that takes over waits for servers to register again.
 pub(super) const STARTUP_GRACE: Millis = Millis(2500);
-/// The time between two looks at the limits on request rates that servers have named.
-const RATE_LIMIT_INTERVAL: Millis = Millis(200);
+/// The time between two looks at what servers have said.
+const STATEMENTS_INTERVAL: Millis = Millis(200);
 /// How long after a completed move the table is stored again, so that several moves share a write.
 const TABLE_CLEANUP_DELAY: Millis = Millis(500);
 /// The delay before a failed write of the table is retried.
@@ -75,7 +75,7 @@
     servers_changed_at: Millis,
     /// When to store the table again because moves have completed.
     table_cleanup_at: Option<Millis>,
-    next_limits_at: Millis,
+    next_statements_at: Millis,
     /// Nothing is planned before this time.
     plan_after: Millis,
     /// Until this time servers may have grants that this daemon does not know. Keys are neither
@@ -121,7 +121,7 @@
             lease_at_risk: false,
             servers_changed_at: now,
             table_cleanup_at: None,
-            next_limits_at: now,
+            next_statements_at: now,
             plan_after: if now.since(started) < STARTUP_GRACE { now + STARTUP_GRACE } else { now },
             act_after,
             peers: HashMap::new(),
@@ -197,7 +197,7 @@
         let now = cx.clock.now();
         self.renew_lease_if_due(now, cx, store, control);
         if self.holds_lease(now) && !self.awaits_unknown_grants(now) {
-            self.update_rate_limits(now, cx);
+            self.update_statements(now, cx);
             self.plan(now, cx);
             self.write_table(now, cx, store, control);
             self.send_orders(now, cx, control);
@@ -261,18 +261,22 @@
         }
     }
 
-    /// Passes the limits that servers have named on to the placement of their keys.
-    fn update_rate_limits(&mut self, now: Millis, cx: &Shared) {
-        if now < self.next_limits_at {
+    /// Passes what servers have said on to the placement of their keys.
+    fn update_statements(&mut self, now: Millis, cx: &Shared) {
+        if now < self.next_statements_at {
             return;
         }
-        self.next_limits_at = now + RATE_LIMIT_INTERVAL;
+        self.next_statements_at = now + STATEMENTS_INTERVAL;
         let Some(view) = cx.view.load() else { return };
         for range_assigner in self.range_assigners.values_mut() {
-            range_assigner.on_rate_limits(|incarnation| {
+            range_assigner.on_statements(|incarnation| {
                 let backend = view.backends.get(&incarnation.id)?;
-                let limit = backend.rate_limit().limit();
-                limit.filter(|_| backend.incarnation == *incarnation)
+                let availability = backend.availability();
+                let stated = StatedNeeds {
+                    rate_limit: availability.rate_limit.limit(),
+                    leaving: availability.leaving_for(now).is_some(),
+                };
+                (backend.incarnation == *incarnation).then_some(stated)
             });
         }
     }
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -275,7 +275,7 @@
     pub(crate) fn publish(&mut self, cx: &Shared) {
         let Some(config) = &self.config else { return };
         let backends =
-            self.backends.update(cx.source_ip(), cx.clock, &self.servers, &self.draining_since);
+            self.backends.update(cx.backend_context(), &self.servers, &self.draining_since);
         let daemon_count = self.members.get().len();
         let mut services: HashMap<SmolStr, Vec<_>> = HashMap::new();
         for entry in &self.servers {
@@ -285,7 +285,7 @@
                     / daemon_count.max(1) as f64;
                 backend.set_connection_limit(limit as u32);
             }
-            backend.rate_limit().set_daemons(daemon_count);
+            backend.availability().rate_limit.set_daemons(daemon_count);
             if entry.state == ServerState::Ready {
                 services.entry(entry.service.clone()).or_default().push(Arc::clone(backend));
             }
--- a/crates/oriolehoist_edge/src/control/load_gossip.rs
+++ b/crates/oriolehoist_edge/src/control/load_gossip.rs
@@ -77,7 +77,7 @@
             Some((backend.short_id, backend.load_estimator().in_flight_if_busy(now)?))
         });
         let limits = view.backends.values().filter_map(|backend| {
-            let report = backend.rate_limit().report(now)?;
+            let report = backend.availability().rate_limit.report(now)?;
             let is_due = reported.get(&backend.short_id).is_none_or(|(at, counts)| {
                 now.since(*at) >= LIMIT_REPORT_INTERVAL || *counts != report.counts
             });
--- a/crates/oriolehoist_edge/src/control/orders.rs
+++ b/crates/oriolehoist_edge/src/control/orders.rs
@@ -5,7 +5,7 @@
         connection::{ClientConnection, HttpClient, HttpClientOptions},
         control::order_log::{OrderConnection, OrderLog, OrderTrace},
         process::{Shared, lock},
-        request::{Absence, observe_response},
+        request::{Absence, observe_statements},
     },
     oriolehoist_keyspace::{OrderOutcome, OutgoingOrder, SessionId},
     oriolehoist_port::{HttpResponse, Order, Revision},
@@ -174,20 +174,20 @@
             Ok((response, connection)) => {
                 lock(current).connection = connection;
                 trace.peer = self.cx.platform.decode_peer_name(&response.headers);
-                self.observe_limit(order, trace.started_at, &response);
+                self.observe_statements(order, trace.started_at, &response);
                 OrderOutcome::Answered(self.cx.platform.decode_order_response(&response))
             }
             Err(_) => OrderOutcome::Unanswered,
         }
     }
 
-    /// Records the limit that the server names in its response, if it names one.
-    fn observe_limit(&self, order: &OutgoingOrder, sent_at: Millis, response: &HttpResponse) {
+    /// Records what the server says about itself in its response.
+    fn observe_statements(&self, order: &OutgoingOrder, sent_at: Millis, response: &HttpResponse) {
         let Some(view) = self.cx.view.load() else { return };
         match view.backends.get(&order.server.id) {
             Some(backend) if backend.incarnation == order.server && response.status == 200 => {
                 let absence = Absence::SaysNothing;
-                observe_response(&self.cx, backend, sent_at, &response.headers, absence, "order");
+                observe_statements(&self.cx, backend, sent_at, response, absence, "order");
             }
             _ => {}
         }
@@ -206,7 +206,7 @@
         match self.http.send(conn, order.address, &http_request, order.timeout).await {
             Ok(response) => {
                 trace.peer = self.cx.platform.decode_peer_name(&response.headers);
-                self.observe_limit(order, trace.started_at, &response);
+                self.observe_statements(order, trace.started_at, &response);
                 OrderOutcome::Answered(self.cx.platform.decode_order_response(&response))
             }
             Err(_) => OrderOutcome::Unanswered,
--- a/crates/oriolehoist_edge/src/process/metrics.rs
+++ b/crates/oriolehoist_edge/src/process/metrics.rs
@@ -22,6 +22,7 @@
     syncs: IntCounterVec,
     sync_bytes: IntCounter,
     server_limits: IntCounterVec,
+    server_statements: IntCounterVec,
     endless_responses: IntCounter,
     servers_age: IntGauge,
     config_age: IntGauge,
@@ -54,6 +55,11 @@
                 "Changes of the limits that servers name.",
                 "change",
             )?,
+            server_statements: counter(
+                "oriolehoist_server_statements_total",
+                "Servers that leave or pause, as they say themselves.",
+                "statement",
+            )?,
             endless_responses: IntCounter::new(
                 "oriolehoist_endless_responses_total",
                 "Responses of servers that were given up because they had no end.",
@@ -74,8 +80,9 @@
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
         let Metrics { refusals, malformed_requests, store_calls, .. } = &metrics;
-        let Metrics { orders, syncs, server_limits, .. } = &metrics;
-        let counters = [refusals, malformed_requests, store_calls, orders, syncs, server_limits];
+        let Metrics { orders, syncs, server_limits, server_statements, .. } = &metrics;
+        let requests = [refusals, malformed_requests, server_limits, server_statements];
+        let counters = requests.into_iter().chain([store_calls, orders, syncs]);
         for counter in counters {
             metrics.registry.register(Box::new(counter.clone()))?;
         }
@@ -119,6 +126,11 @@
         self.server_limits.with_label_values(&[change]).inc();
     }
 
+    /// Records that a server said that it is `leaving` or `paused`, or something `malformed`.
+    pub(crate) fn on_server_statement(&self, statement: &str) {
+        self.server_statements.with_label_values(&[statement]).inc();
+    }
+
     /// Records that a response was given up because it had no end.
     pub(crate) fn on_endless_response(&self) {
         self.endless_responses.inc();
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{HttpClient, HttpClientOptions},
+        connection::{BackendContext, HttpClient, HttpClientOptions},
         control::OrDash,
         process::Metrics,
         version::View,
@@ -131,6 +131,15 @@
         self.bootstrap.peer_address.ip()
     }
 
+    /// Returns what all backend servers have in common.
+    pub(crate) fn backend_context(&self) -> BackendContext {
+        BackendContext {
+            source: self.source_ip(),
+            clock: self.clock,
+            drain_period: self.bootstrap.bounds.drain_period,
+        }
+    }
+
     pub(crate) fn caller_limits(&self) -> CallerLimits {
         self.view.load().map_or_else(CallerLimits::default, |view| view.config.limits)
     }
--- a/crates/oriolehoist_edge/src/request/exchange.rs
+++ b/crates/oriolehoist_edge/src/request/exchange.rs
@@ -6,7 +6,7 @@
         process::Shared,
         request::{
             forward::RoutedRequest,
-            rate_limit::{Absence, observe_response},
+            statements::{Absence, observe_statements},
         },
     },
     http::{HeaderValue, header::CONTENT_ENCODING},
@@ -111,7 +111,7 @@
                 };
             // A misdirected request may have reached another process.
             if status != MISDIRECTED {
-                observe_response(cx, backend, now, &response.headers, absence, "response");
+                observe_statements(cx, backend, now, &response, absence, "response");
             }
             let outcome = match classify_response(cx, response) {
                 // Without a key, a server rejects only requests that are meant for another one.
@@ -133,6 +133,7 @@
             backend.close_silent(now);
             AttemptOutcome::TimedOut
         }
+        Err(CallError::Unwanted) => AttemptOutcome::NotSent,
         // No connection could be established. A server resets connections when it has too many, so
         // this counts as overload.
         Err(_) if send_state == SendState::NotSent => {
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -145,8 +145,9 @@
             AttemptOutcome::Shed
                 if request.key.is_none() && request.route.max_attempts > tried.len() as u32 => {}
             AttemptOutcome::Shed => {
-                let wait =
-                    backend.load_estimator().expected_wait(cx.clock.now()).max(MIN_RETRY_AFTER);
+                let wait = rate_limit::wait(cx, request, &backend)
+                    .max(backend.load_estimator().expected_wait(cx.clock.now()))
+                    .max(MIN_RETRY_AFTER);
                 let refusal = Refusal::new(RefusalKind::Overloaded, "the server is overloaded");
                 return ForwardOutcome::Refused(
                     refusal.with_expected_wait(wait).with_retry_after(wait),
--- a/crates/oriolehoist_edge/src/request/mod.rs
+++ b/crates/oriolehoist_edge/src/request/mod.rs
@@ -7,10 +7,11 @@
 mod refusal;
 mod respond;
 mod select;
+mod statements;
 
 pub(crate) use {
-    rate_limit::{Absence, observe_report, observe_response},
     refusal::CallerResponse,
     respond::{Request, respond},
     select::DRAIN_MARGIN,
+    statements::{Absence, observe_report, observe_statements},
 };
--- a/crates/oriolehoist_edge/src/request/select.rs
+++ b/crates/oriolehoist_edge/src/request/select.rs
@@ -27,6 +27,9 @@
 /// that the news of its last state was on its way, 500 ms at most, and the sending of the request.
 pub(crate) const DRAIN_MARGIN: Millis = Millis(900);
 
+/// When a request may come back if its server has left and no other one has its key yet.
+const LEFT_SERVER_RETRY: Millis = Millis(500);
+
 /// The result of selecting a server.
 pub(crate) enum Selection {
     Server(Arc<Backend>),
@@ -69,10 +72,11 @@
         backend.draining_for(now).is_some_and(|draining| draining > limit)
     };
     match request.view.backends.get(&incarnation.id) {
-        Some(backend) if backend.incarnation == *incarnation && !is_past_drain_period(backend) => {
-            Selection::Server(Arc::clone(backend))
+        Some(backend) if backend.incarnation != *incarnation || is_past_drain_period(backend) => {
+            Selection::Wait
         }
-        Some(_) => Selection::Wait,
+        Some(backend) if backend.admits_requests() => Selection::Server(Arc::clone(backend)),
+        Some(backend) => Selection::Refuse(unwanted(backend, now)),
         None => Selection::Refuse(Refusal::new(
             RefusalKind::OwnerLost,
             "the key's owner is not registered",
@@ -80,6 +84,18 @@
     }
 }
 
+/// Returns the refusal of a request to a server that has said that it wants none.
+fn unwanted(server: &Backend, now: Millis) -> Refusal {
+    let pause = server.availability().paused_until().since(now);
+    match pause {
+        Millis::ZERO => Refusal::new(RefusalKind::NoOwner, "the server has said that it leaves")
+            .with_retry_after(LEFT_SERVER_RETRY),
+        _ => Refusal::new(RefusalKind::Overloaded, "the server wants no requests for some time")
+            .with_expected_wait(pause)
+            .with_retry_after(pause),
+    }
+}
+
 fn select_any_server(
     cx: &Shared,
     request: &RoutedRequest,
@@ -103,12 +119,24 @@
     }
     let rate_wait = |server: &Backend| rate_limit::wait(cx, request, server);
     let admits = |server: &Backend| {
-        !saturated.contains(&server.incarnation.id) && rate_wait(server) == Millis::ZERO
+        !saturated.contains(&server.incarnation.id)
+            && server.admits_requests()
+            && rate_wait(server) == Millis::ZERO
     };
-    let admitting: Vec<&Arc<Backend>> = present().filter(|server| admits(server)).collect();
+    let is_leaving = |server: &Backend| server.availability().leaving_for(now).is_some();
+    let mut admitting: Vec<&Arc<Backend>> = present().filter(|server| admits(server)).collect();
+    // A server that leaves is used only if there is no other one.
+    if admitting.iter().any(|server| !is_leaving(server)) {
+        admitting.retain(|server| !is_leaving(server));
+    }
     if admitting.is_empty() {
-        let wait = present().map(|server| rate_wait(server)).min().unwrap_or_default();
-        return Selection::Refuse(rate_limit::refusal(wait.max(MIN_RETRY_AFTER)));
+        let earliest = present().min_by_key(|server| (is_leaving(server), rate_wait(server)));
+        let refusal = match earliest {
+            Some(server) if !server.admits_requests() => unwanted(server, now),
+            _ => rate_limit::refusal(earliest.map_or(Millis::ZERO, |server| rate_wait(server))),
+        };
+        let wait = refusal.retry_after.unwrap_or_default().max(MIN_RETRY_AFTER);
+        return Selection::Refuse(refusal.with_retry_after(wait));
     }
     let has_untried = admitting.iter().any(|server| !tried.contains(&server.incarnation.id));
     let candidates = admitting
--- a/crates/oriolehoist_keyspace/src/assigner.rs
+++ b/crates/oriolehoist_keyspace/src/assigner.rs
@@ -16,6 +16,15 @@
 /// routes is sent to all daemons.
 const LOST_WAIT_STEP: Millis = Millis(500);
 
+/// What a server has said about the requests that it takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StatedNeeds {
+    /// The requests per second that it takes from all daemons together, if it has named a limit.
+    pub rate_limit: Option<f64>,
+    /// Whether it leaves. Its keys are moved as if its registration said so.
+    pub leaving: bool,
+}
+
 /// Assigns the key ranges of one service to its servers.
 #[derive(Debug, Default)]
 pub struct RangeAssigner {
@@ -176,11 +185,13 @@
         }
     }
 
-    /// Updates the requests per second that each server takes from all daemons together, if it has
-    /// named a limit.
-    pub fn on_rate_limits(&mut self, limit: impl Fn(&ServerIncarnation) -> Option<f64>) {
+    /// Updates what each server has said about the requests that it takes.
+    pub fn on_statements(&mut self, stated: impl Fn(&ServerIncarnation) -> Option<StatedNeeds>) {
         for server in &mut self.servers {
-            server.rate_limit = limit(&server.incarnation).map(|limit| limit as f32);
+            // Of a server that is not known at the moment, what it said last counts.
+            let Some(stated) = stated(&server.incarnation) else { continue };
+            server.rate_limit = stated.rate_limit.map(|limit| limit as f32);
+            server.says_leaving |= stated.leaving;
         }
     }
 
--- a/crates/oriolehoist_keyspace/src/lib.rs
+++ b/crates/oriolehoist_keyspace/src/lib.rs
@@ -41,7 +41,7 @@
 mod timing;
 
 pub use {
-    assigner::RangeAssigner,
+    assigner::{RangeAssigner, StatedNeeds},
     load::LoadReport,
     orders::{OrderId, OrderOutcome, OutgoingOrder},
     routes::{Holder, KeyRoutes, RoutedRange},
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -65,7 +65,12 @@
                 // The new incarnation of the same server gets the keys back.
                 Status::Superseded => true,
                 // The segment is moved once its owner has accepted the new fencing token.
-                Status::Leaving if segment.awaits_new_fence() && owner.accepts_orders(now) => false,
+                _ if owner.is_leaving()
+                    && segment.awaits_new_fence()
+                    && owner.accepts_orders(now) =>
+                {
+                    false
+                }
                 _ => !owner.is_usable(now),
             };
             if !replaceable {
--- a/crates/oriolehoist_keyspace/src/server.rs
+++ b/crates/oriolehoist_keyspace/src/server.rs
@@ -144,6 +144,8 @@
     pub(crate) service_time: ServiceTime,
     /// The requests per second that it takes, if it has named a limit.
     pub(crate) rate_limit: Option<f32>,
+    /// Whether it has said that it leaves.
+    pub(crate) says_leaving: bool,
 }
 
 impl Server {
@@ -174,12 +176,21 @@
             last_response: now,
             service_time: ServiceTime::default(),
             rate_limit: None,
+            says_leaving: false,
         }
     }
 
     /// Returns whether keys may be assigned to the server.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
-        self.status == Status::Ready && !self.has_ended() && !self.is_unresponsive(now)
+        self.status == Status::Ready
+            && !self.says_leaving
+            && !self.has_ended()
+            && !self.is_unresponsive(now)
+    }
+
+    /// Returns whether it is leaving, according to its registration or to itself.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.status == Status::Leaving || self.says_leaving
     }
 
     /// Returns how many requests per second the server can run. `prior` is the service time that is
--- a/crates/oriolehoist_keyspace/tests/directed/balance.rs
+++ b/crates/oriolehoist_keyspace/tests/directed/balance.rs
@@ -3,7 +3,7 @@
 use {
     crate::support::*,
     googletest::prelude::*,
-    oriolehoist_keyspace::{Holder, LoadReport, ServerIncarnation},
+    oriolehoist_keyspace::{Holder, LoadReport, ServerIncarnation, StatedNeeds},
     oriolehoist_port::{RegisteredServer, ServerState},
     oriolehoist_time::Millis,
 };
@@ -71,7 +71,10 @@
         }
         let service_times = names.map(|id| (incarnation(id), 50, 1)).to_vec();
         harness.assigner.on_load(&LoadReport { requests_by_key: keys, service_times });
-        harness.assigner.on_rate_limits(|server| (server.id == "a").then_some(LIMIT));
+        harness.assigner.on_statements(|server| {
+            let rate_limit = (server.id == "a").then_some(LIMIT);
+            Some(StatedNeeds { rate_limit, leaving: false })
+        });
         harness.run(STEP);
     }
     let limited = f64::from(requests[0]) / 4.0;
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -105,6 +105,12 @@
     ServerLimitMalformed = 4006, Warn;
     /// A server's response had no end, or needed too much memory, and was given up.
     ResponseEndless = 4007, Warn;
+    /// A server said that it leaves.
+    ServerLeaving = 4008, Info;
+    /// A server that turned a request away wants none for some time.
+    ServerPaused = 4009, Info;
+    /// A server said something about the requests that it takes that is malformed. It is ignored.
+    ServerStatementMalformed = 4010, Warn;
     /// A peer sent a malformed message.
     PeerMalformed = 5001, Warn;
 }
--- a/crates/oriolehoist_port/src/lib.rs
+++ b/crates/oriolehoist_port/src/lib.rs
@@ -22,7 +22,9 @@
     boot::{BootstrapConfig, OperationalBounds},
     configuration::{CallerLimits, Configuration, Route, ServiceSpec},
     order::{Handover, KeyRange, Order, OrderResponse},
-    platform::{DecodeError, HeaderNames, HttpRequest, HttpResponse, Platform, ServerLoad},
+    platform::{
+        DecodeError, HeaderNames, HttpRequest, HttpResponse, Platform, ServerLoad, ServerStatements,
+    },
     server::{RegisteredServer, ServerState},
     store::{
         Change, Item, LeaseId, Put, Revision, StoreEra, StoreRequest, StoreRequestKind,
--- a/crates/oriolehoist_port/src/platform.rs
+++ b/crates/oriolehoist_port/src/platform.rs
@@ -6,6 +6,7 @@
     bytes::Bytes,
     derive_more::{Display, Error},
     http::{HeaderMap, HeaderName, Method},
+    oriolehoist_time::Millis,
     smol_str::SmolStr,
 };
 
@@ -61,6 +62,17 @@
     pub slots: u32,
 }
 
+/// What a server says in a response about the requests that it takes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerStatements {
+    /// The requests per second that it takes from all daemons together, if it names a limit.
+    pub rate_limit: Result<Option<f64>, DecodeError>,
+    /// Whether it is leaving.
+    pub leaving: Result<bool, DecodeError>,
+    /// For how long it wants no requests from this daemon, if it says so as it turns one away.
+    pub come_back_after: Result<Option<Millis>, DecodeError>,
+}
+
 /// Malformed input from the platform.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("{subject}: {reason}")]
@@ -89,13 +101,9 @@
     /// Decodes the load that a server reports in the headers of a response, if present.
     fn decode_server_load(&self, headers: &HeaderMap) -> Option<ServerLoad>;
 
-    /// Decodes how many requests per second a server takes from all daemons together, which it names
-    /// in the headers of a response while it is in need. Returns `None` if it names no limit.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the value is not one number that can be a limit.
-    fn decode_rate_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, DecodeError>;
+    /// Decodes what a server says in a response with this status. A header that is malformed is an
+    /// error of its own, and does not affect the others.
+    fn decode_statements(&self, status: u16, headers: &HeaderMap) -> ServerStatements;
 
     /// Returns the store key of the operators' configuration.
     fn configuration_key(&self) -> &'static str;
--- a/tests/users_platform/server_statements.rs
+++ b/tests/users_platform/server_statements.rs
@@ -205,6 +205,55 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_counts_with_429_and_without_a_word_on_whether_the_request_ran() -> eyre::Result<()>
+{
+    let deployment = deployment(1, 1, 2).await?;
+    let (daemon, client) = (&deployment.daemons[0], Client::new(HOST, "status")?);
+    for (index, (status, says_not_run)) in [(429, true), (503, false)].into_iter().enumerate() {
+        let server = &deployment.servers[index + 1];
+        server.set_faults(ServerFaults {
+            turn_away: Some(TurnAway { status, says_not_run, retry_after: vec!["30".into()] }),
+            ..ServerFaults::default()
+        });
+    }
+    for _ in 0..6 {
+        let response = client.send(daemon.caller_address, Method::GET, "/p/a", None, DEADLINE);
+        expect_that!(response.await.is_served(), eq(false));
+    }
+    for server in &deployment.servers[1..] {
+        expect_that!(server.arrivals().len(), le(1), "{}", server.id);
+    }
+    clean_up(deployment);
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_whose_entry_is_back_after_a_while_gets_no_late_requests()
+-> eyre::Result<()> {
+    let deployment = deployment(1, 1, 1).await?;
+    let (daemon, client) = (&deployment.daemons[0], Client::new(HOST, "back")?);
+    let send = || client.send(daemon.caller_address, Method::GET, "/p/a", None, DEADLINE);
+    let server = &deployment.servers[1];
+    set_statements(server, &["1"], &[]);
+    expect_that!(send().await.is_served(), eq(true));
+    sleep(DRAIN_PERIOD).await;
+    deployment.unregister(server);
+    // A daemon forgets the entry after 8 s.
+    sleep(SECOND * 9).await;
+    // The start in it shows that the process is the same.
+    deployment.register(server, "plain", "ready");
+    sleep(SECOND).await;
+    for _ in 0..5 {
+        expect_that!(send().await.status, some(eq(503)));
+    }
+    expect_that!(server.arrivals().len(), eq(1));
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn statements_that_are_malformed_keep_no_request_from_a_server() -> eyre::Result<()> {
