Spread busy keys also over hundreds of servers

On large deployments block-status callers of a hot key set were refused: one of 157 servers got 10 times the mean, and with 494 servers nothing could be moved at all. Causes: at most 200 ranges a service, fewer than the first assignment makes; at most eight moves in a round; and a key is moved only if it fits the room that another server has below the mean, which one hot key alone exceeds when there are many servers.

Ranges and moves now grow with the servers (three ranges and a twelfth of a move for each; a table of at most 700 KB), and the hottest key of a server that is at 90 % of its capacity or more goes to the least utilized one if that leaves both below four fifths of it. Loads are summed in one pass over the ranges, and only when there is something to replace.

Test: 300 servers, 60 adjacent keys with two fifths of 3,000 requests a second.

--- a/crates/oriolehoist_keyspace/src/load.rs
+++ b/crates/oriolehoist_keyspace/src/load.rs
@@ -3,7 +3,7 @@
     oriolehoist_port::KeyRange,
     oriolehoist_time::Millis,
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, HashMap},
 };
 
 /// The half-life of measured load.
@@ -22,6 +22,31 @@
     pub service_times: Vec<(ServerIncarnation, u32, u32)>,
 }
 
+impl LoadReport {
+    /// Adds the load that another daemon has measured.
+    pub fn merge(&mut self, other: &LoadReport) {
+        for (key, requests) in &other.requests_by_key {
+            match self.requests_by_key.binary_search_by_key(key, |entry| entry.0) {
+                Ok(index) => self.requests_by_key[index].1 += requests,
+                Err(index) => self.requests_by_key.insert(index, (*key, *requests)),
+            }
+        }
+        let mut known: HashMap<ServerIncarnation, usize> = HashMap::new();
+        for (index, entry) in self.service_times.iter().enumerate() {
+            known.insert(entry.0.clone(), index);
+        }
+        for (server, millis, samples) in &other.service_times {
+            match known.get(server) {
+                Some(index) => {
+                    let entry = &mut self.service_times[*index];
+                    (entry.1, entry.2) = (entry.1.saturating_add(*millis), entry.2 + samples);
+                }
+                None => self.service_times.push((server.clone(), *millis, *samples)),
+            }
+        }
+    }
+}
+
 /// The load of a service by key, in requests per second.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct KeyLoad {
--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -16,14 +16,25 @@
 const MIN_UTILIZATION: f32 = 0.25;
 /// A key that alone uses more than this share of its owner's capacity is too hot for it.
 const HOT_KEY_UTILIZATION: f32 = 0.6;
+/// A server with at least this utilization has a queue that grows.
+const CONGESTED_UTILIZATION: f32 = 0.9;
+/// The utilization of a server that gets a key from a congested one, as a part of that one's.
+const MAX_MOVED_UTILIZATION: f32 = 0.8;
 /// How many times the capacity of its owner another server must have to take over such a key.
 const MIN_CAPACITY_GAIN: f32 = 1.25;
-/// The maximum number of moves from overloaded servers that one round of balancing starts. No round
-/// takes place while more segments than this are changing owner.
+/// The maximum number of moves from overloaded servers that one round of balancing starts, for few
+/// servers. No round takes place while more segments than this are changing owner.
 const MAX_MOVES_PER_ROUND: usize = 8;
-/// The maximum number of segments, which limits the number of renewals and the size of the stored
-/// table.
+/// With many servers, one of this many may get keys in a round of balancing.
+const SERVERS_PER_MOVE: usize = 12;
+/// The maximum number of segments for few servers, which limits the number of renewals and the size of
+/// the stored table.
 const MAX_SEGMENTS: usize = 200;
+/// With many servers, the maximum number of segments for each of them.
+const MAX_SEGMENTS_PER_SERVER: usize = 3;
+/// The maximum number of segments for any number of servers, with which the stored table takes about
+/// 700 KB.
+const MAX_STORED_SEGMENTS: usize = 6000;
 /// The maximum number of keys that one balancing move may cover.
 const MAX_KEYS_PER_MOVE: u16 = 1 << 11;
 /// The maximum number of parts that a segment of an unusable server is split into.
@@ -54,7 +65,7 @@
             return true;
         }
         self.split_off_longest_granted_keys(now);
-        let mut loads = self.server_loads(&usable);
+        let mut loads = Vec::new();
         // The whole plan uses one fencing token, so that adjacent segments can be merged again.
         let mut fence = None;
         let mut index = 0;
@@ -83,6 +94,9 @@
                 Some(_) => 1,
                 None => self.split(index, MAX_PARTS_OF_ORPHANED_RANGE),
             };
+            if loads.is_empty() {
+                loads = self.server_loads(&usable);
+            }
             for part in index..index + parts {
                 let least = least_busy(&loads).unwrap_or_default();
                 let to = successor.unwrap_or(loads[least].server);
@@ -119,8 +133,12 @@
     /// This handles load that is concentrated on few keys. The cost of a move is its share of all
     /// keys, so the fewest keys with the most load are moved.
     pub(crate) fn balance(&mut self, now: Millis, version: u64, fences: &mut FenceCounter) -> bool {
+        if now.since(self.last_balanced_at) < BALANCE_INTERVAL {
+            return false;
+        }
         let moving = self.segments.iter().filter(|segment| segment.phase != Phase::Held).count();
-        if now.since(self.last_balanced_at) < BALANCE_INTERVAL || moving > MAX_MOVES_PER_ROUND {
+        let max_moves = MAX_MOVES_PER_ROUND.max(self.servers.len() / SERVERS_PER_MOVE);
+        if moving > max_moves {
             return false;
         }
         self.last_balanced_at = now;
@@ -136,21 +154,25 @@
             fence = Some(new_fence);
             loads = self.server_loads(&usable);
         }
-        for _ in 0..MAX_MOVES_PER_ROUND {
+        let max_segments = max_segments(loads.len());
+        for _ in 0..max_moves {
             let (Some(most), Some(least)) = (busiest(&loads), least_busy(&loads)) else { break };
             let (from, to) = (loads[most], loads[least]);
             // Keys of this server could only be granted again after its unanswered grants have
             // expired.
             let blocked = self.server(from.server).delayed_grant_expiry(KeyRange::ALL, false) > now;
             let done = blocked || from.utilization() < (mean * OVERLOAD_RATIO).max(MIN_UTILIZATION);
-            if done || self.segments.len() >= MAX_SEGMENTS {
+            if done || self.segments.len() >= max_segments {
                 break;
             }
             // Moves no more than brings `from` down to the mean utilization, and no more than
             // brings `to` up to it.
             let excess = (from.utilization() - mean) * from.capacity;
             let headroom = (mean - to.utilization()) * to.capacity;
-            let Some(run) = self.hottest_run_of(from.server, excess.min(headroom)) else { break };
+            let run = self
+                .hottest_run_of(from.server, excess.min(headroom))
+                .or_else(|| self.hottest_key_of(&from, &to));
+            let Some(run) = run else { break };
             let part = self.split_off(run.index, run.range);
             let fence = *fence.get_or_insert_with(|| fences.issue());
             self.segments[part].reassign(to.server, version, fence);
@@ -176,7 +198,7 @@
             && fastest.capacity > owner.capacity * MIN_CAPACITY_GAIN
             && self.server(segment.owner).delayed_grant_expiry(segment.range, segment.adopted)
                 <= now
-            && self.segments.len() < MAX_SEGMENTS;
+            && self.segments.len() < max_segments(loads.len());
         let part = worthwhile.then(|| self.split_off(index, KeyRange { first: key, last: key }))?;
         Some((part, fastest.server))
     }
@@ -191,14 +213,14 @@
             usable.iter().map(|index| self.server(*index).service_time),
             DEFAULT_SERVICE_TIME_MS,
         );
-        let load = |index: &ServerIndex| {
-            let server = self.server(*index);
-            let owned = self.segments.iter().filter(|segment| segment.owner == *index);
-            Load {
-                server: *index,
-                rate: owned.map(|segment| self.load.rate_of(segment.range)).sum(),
-                capacity: server.capacity(prior),
-            }
+        let mut rates = vec![0.0; self.servers.len()];
+        for segment in &self.segments {
+            rates[segment.owner.0 as usize] += self.load.rate_of(segment.range);
+        }
+        let load = |index: &ServerIndex| Load {
+            server: *index,
+            rate: rates[index.0 as usize],
+            capacity: self.server(*index).capacity(prior),
         };
         usable.iter().map(load).collect()
     }
@@ -273,7 +295,7 @@
     fn split(&mut self, index: usize, parts: u32) -> usize {
         let range = self.segments[index].range;
         let parts = parts.min(range.count() / MIN_KEYS_PER_PART);
-        if parts < 2 || self.segments.len() >= MAX_SEGMENTS {
+        if parts < 2 || self.segments.len() >= max_segments(self.servers.len()) {
             return 1;
         }
         let segment = self.segments[index].clone();
@@ -302,6 +324,27 @@
         .max_by(|a, b| a.rate.total_cmp(&b.rate))
     }
 
+    /// Returns the hottest key of a congested server, if moving it leaves both servers less utilized
+    /// than that one is.
+    ///
+    /// With many servers, the mean load of one is less than that of a single hot key. Several of them
+    /// on one server then fit no other one's headroom, though each alone has the capacity.
+    fn hottest_key_of(&self, from: &Load, to: &Load) -> Option<KeyRun> {
+        if from.utilization() < CONGESTED_UTILIZATION {
+            return None;
+        }
+        let held = self.segments.iter().enumerate().filter(|(_, segment)| {
+            segment.owner == from.server && segment.phase == Phase::Held && !segment.adopted
+        });
+        let keys = held.flat_map(|(index, segment)| {
+            let rates = self.load.rates_within(segment.range);
+            rates.map(move |(key, rate)| (index, key, rate))
+        });
+        let (index, key, rate) = keys.max_by(|a, b| a.2.total_cmp(&b.2))?;
+        let improves = (to.rate + rate) / to.capacity < from.utilization() * MAX_MOVED_UTILIZATION;
+        improves.then_some(KeyRun { index, range: KeyRange { first: key, last: key }, rate })
+    }
+
     /// Splits `range` off a segment into a segment of its own. Returns the index of that segment.
     fn split_off(&mut self, index: usize, range: KeyRange) -> usize {
         let segment = self.segments[index].clone();
@@ -363,6 +406,11 @@
     best
 }
 
+/// Returns the maximum number of segments for this many servers.
+fn max_segments(servers: usize) -> usize {
+    MAX_SEGMENTS.max(servers * MAX_SEGMENTS_PER_SERVER).min(MAX_STORED_SEGMENTS)
+}
+
 fn busiest(loads: &[Load]) -> Option<usize> {
     (0..loads.len()).max_by(|a, b| loads[*a].utilization().total_cmp(&loads[*b].utilization()))
 }
--- a/crates/oriolehoist_keyspace/tests/directed/balance.rs
+++ b/crates/oriolehoist_keyspace/tests/directed/balance.rs
@@ -6,6 +6,7 @@
     oriolehoist_keyspace::{Holder, LoadReport, ServerIncarnation, StatedNeeds},
     oriolehoist_port::{RegisteredServer, ServerState},
     oriolehoist_time::Millis,
+    std::collections::HashMap,
 };
 
 /// Two fifths of the load fall on 60 adjacent keys, as happens when the tide turns in one harbour.
@@ -165,3 +166,46 @@
     // Half of the keys, less what moves to balance the random load.
     expect_that!(keys, gt(65_536 * 2 / 5));
 }
+
+/// Two fifths of the load fall on 60 adjacent keys, which one of 300 servers owns at first. Guards
+/// against a number of ranges and of moves that is too low for many servers.
+#[gtest]
+fn hot_keys_are_spread_over_hundreds_of_servers_within_three_seconds() {
+    const SERVERS: usize = 300;
+    const REQUESTS_PER_STEP: usize = 60;
+    let names: Vec<String> = (0..SERVERS).map(|index| format!("s{index}")).collect();
+    let servers: Vec<RegisteredServer> = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| RegisteredServer {
+            address: ([10, 0, (index / 250) as u8, (index % 250) as u8], 80).into(),
+            ..server(name, ServerState::Ready)
+        })
+        .collect();
+    let mut harness = Harness::new(&servers);
+    let mut rng = fastrand::Rng::with_seed(5);
+    let seconds = 4;
+    let mut requests: HashMap<ServerIncarnation, usize> = HashMap::new();
+    for step in 0..seconds * 50 {
+        let routes = harness.assigner.routes(harness.now);
+        let mut keys = Vec::new();
+        for _ in 0..REQUESTS_PER_STEP {
+            let key = if rng.f64() < 0.4 { 1000 + rng.u16(0..60) } else { rng.u16(..) };
+            keys.push((key, 1));
+            if step >= (seconds - 1) * 50
+                && let Some(Holder::Server(owner)) = routes.holder(key)
+            {
+                *requests.entry(owner.clone()).or_default() += 1;
+            }
+        }
+        let service_times = names.iter().map(|id| (incarnation(id), 50, 1)).collect();
+        harness.assigner.on_load(&LoadReport { requests_by_key: keys, service_times });
+        harness.run(STEP);
+    }
+    // In the last second each server would get 10 requests on average, and each hot key gets 20.
+    let busiest = requests.values().max().copied().unwrap_or_default();
+    let served: usize = requests.values().sum();
+    println!("the busiest server got {busiest} of {served} in a second");
+    expect_that!(served, ge(REQUESTS_PER_STEP * 50 * 95 / 100));
+    expect_that!(busiest, le(60));
+}
