Compare a sample of many servers, and let many daemons try many new ones

choose_server compares all of up to 32 servers as before, and of more a random sample of five in the daemon's zone and three anywhere. New servers are tried at random, with at least half the share that their number gives. A server without a measurement is assumed to need the mean of its service.

--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -21,6 +21,7 @@
 //! ```
 
 mod availability;
+mod choice;
 mod class;
 mod controller;
 mod crash_suspects;
@@ -32,13 +33,16 @@
 
 pub use {
     availability::StatedAvailability,
+    choice::{ServerOption, choose_server},
     class::Class,
     controller::{
         Admission, AdmissionController, AdmissionLimits, AdmissionRefusal, Completion, Dequeued,
     },
     crash_suspects::{CrashId, CrashSuspects, Fingerprint, SendDecision},
     limit::AdaptiveLimit,
-    load_estimator::{InFlightOutcome, InFlightRequest, LoadEstimator, ServiceTimeTotal},
+    load_estimator::{
+        InFlightOutcome, InFlightRequest, LoadEstimator, MeanServiceTime, ServiceTimeTotal,
+    },
     queue::{FairQueue, QueuedRequest, Ticket},
     rate_limit::{RateReport, RequestCounts, SharedRateLimit},
     retry::{RetryBudget, RetryBudgets},
--- a/crates/oriolehoist_admission/src/load_estimator.rs
+++ b/crates/oriolehoist_admission/src/load_estimator.rs
@@ -1,4 +1,10 @@
-use oriolehoist_time::Millis;
+use {
+    oriolehoist_time::Millis,
+    std::sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 /// Factor by which each new measurement of the service time reduces the weight of earlier ones.
 const SERVICE_TIME_DECAY: f64 = 0.93;
@@ -8,12 +14,39 @@
 const SERVER_REPORT_HALF_LIFE: Millis = Millis(400);
 /// How long the load reported by the other daemons is used.
 const PEER_REPORT_TTL: Millis = Millis(250);
+/// A load of this part of the slots or more is worth telling the other daemons.
+const NOTABLE_LOAD_DIVISOR: f64 = 2.0;
 /// Base of the time for which a server that shed a request is regarded as full. Every consecutive
 /// shed request doubles it, the first included: the time is 120 ms after one and 240 ms after two.
 const SHED_BACKOFF: Millis = Millis(60);
 /// Upper bound of the time for which a server that shed a request is regarded as full.
 const MAX_SHED_BACKOFF: Millis = Millis(480);
 
+/// Weight of a new measurement in the mean of a service, as one of this many.
+const MEAN_DIVISOR: f64 = 16.0;
+
+/// The mean service time of the servers of one service, as measured by one daemon. It is assumed for
+/// those without measurements.
+#[derive(Debug, Default)]
+pub struct MeanServiceTime {
+    /// The bits of the number of milliseconds, which is zero before the first measurement.
+    bits: AtomicU64,
+}
+
+impl MeanServiceTime {
+    /// Returns the mean in milliseconds, if anything was measured.
+    pub fn get(&self) -> Option<f64> {
+        let mean = f64::from_bits(self.bits.load(Ordering::Relaxed));
+        (mean > 0.0).then_some(mean)
+    }
+
+    fn record(&self, millis: f64) {
+        let mean = self.get().map_or(millis, |mean| mean + (millis - mean) / MEAN_DIVISOR);
+        // If two threads record at once, one measurement may be lost.
+        self.bits.store(mean.to_bits(), Ordering::Relaxed);
+    }
+}
+
 /// Estimates the load of one server, as seen by one daemon.
 ///
 /// A server's load report counts the requests of all daemons. To the requests of the others in it,
@@ -27,11 +60,16 @@
     /// Requests of the other daemons, according to the server's last load report.
     others: f64,
     server_reported_at: Millis,
+    /// The last report that the server sent this daemon, and when it arrived.
+    own_report: Option<(Millis, u32)>,
     /// Requests of the other daemons, according to their own reports.
     peers: u32,
     peers_reported_at: Millis,
     /// Initial estimate of the service time, in milliseconds.
     initial_service_time: f64,
+    /// The mean of the service, which replaces that once it is known, and how many times slower than
+    /// that the server is assumed to be.
+    mean_service_time: Option<(Arc<MeanServiceTime>, f64)>,
     /// Weighted sum of the measured service times, in milliseconds.
     service_time_sum: f64,
     /// Sum of the weights of the measurements.
@@ -80,9 +118,11 @@
             in_flight: 0,
             others: 0.0,
             server_reported_at: Millis::ZERO,
+            own_report: None,
             peers: 0,
             peers_reported_at: Millis::ZERO,
             initial_service_time: service_time.0 as f64,
+            mean_service_time: None,
             service_time_sum: 0.0,
             service_time_weight: 0.0,
             unreported: ServiceTimeTotal::default(),
@@ -91,6 +131,11 @@
         }
     }
 
+    /// Uses the mean of the server's service, times `factor`, instead of the initial estimate.
+    pub fn with_mean(self, mean: Arc<MeanServiceTime>, factor: f64) -> LoadEstimator {
+        LoadEstimator { mean_service_time: Some((mean, factor)), ..self }
+    }
+
     /// Returns the number of requests that this daemon has in flight at the server.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
@@ -116,6 +161,8 @@
             // The report counts the completed request and those of this daemon in flight.
             self.others = f64::from(reported_load.saturating_sub(self.in_flight + 1));
             self.server_reported_at = now;
+            // The completed request is no longer there.
+            self.own_report = Some((now, reported_load.saturating_sub(1)));
         }
         let elapsed = now.since(request.sent_at).0 as f64;
         match outcome {
@@ -138,6 +185,9 @@
     }
 
     fn record_service_time(&mut self, millis: f64) {
+        if let Some((mean, _)) = &self.mean_service_time {
+            mean.record(millis);
+        }
         self.service_time_sum = self.service_time_sum * SERVICE_TIME_DECAY + millis;
         self.service_time_weight = self.service_time_weight * SERVICE_TIME_DECAY + 1.0;
         self.unreported.millis += millis as u64;
@@ -146,7 +196,10 @@
 
     /// Returns the estimated service time of a request, in milliseconds.
     fn service_time(&self) -> f64 {
-        let sum = self.initial_service_time * INITIAL_ESTIMATE_WEIGHT + self.service_time_sum;
+        let mean = self.mean_service_time.as_ref();
+        let mean = mean.and_then(|(mean, factor)| Some(mean.get()? * factor));
+        let initial = mean.unwrap_or(self.initial_service_time);
+        let sum = initial * INITIAL_ESTIMATE_WEIGHT + self.service_time_sum;
         sum / (INITIAL_ESTIMATE_WEIGHT + self.service_time_weight)
     }
 
@@ -176,6 +229,25 @@
         self.service_time_weight == 0.0 && self.consecutive_sheds == 0 && self.in_flight == 0
     }
 
+    /// Returns the load in the last report that the server sent this daemon, and when it arrived.
+    pub fn own_report(&self) -> Option<(Millis, u32)> {
+        self.own_report
+    }
+
+    /// Returns whether a load leaves so few slots that the other daemons need to know it.
+    pub fn is_notable(&self, load: u32) -> bool {
+        f64::from(load) * NOTABLE_LOAD_DIVISOR >= self.slots
+    }
+
+    /// Records the load that the server reported to another daemon at `at`, unless a later report is
+    /// known.
+    pub fn on_shared_report(&mut self, at: Millis, load: u32) {
+        if at > self.server_reported_at {
+            self.others = f64::from(load.saturating_sub(self.in_flight));
+            self.server_reported_at = at;
+        }
+    }
+
     /// Records how many requests the other daemons have in flight at the server.
     pub fn on_peer_load(&mut self, now: Millis, requests: u32) {
         self.peers = requests;
