--- /dev/null
+++ b/crates/oriolehoist_fleet/src/election.rs
@@ -0,0 +1,28 @@
+use {oriolehoist_port::InstanceSize, oriolehoist_time::Millis};
+
+/// The additional delay before an election attempt per rank, so that the daemons don't all try at
+/// once.
+const STAGGER: Millis = Millis(60);
+/// The number of ranks that daemons of one size are divided into by their names.
+const RANKS: u32 = 8;
+/// While the others are not known, daemons with less than this leave the role to them first.
+const SMALL_MILLICORES: u32 = 150;
+
+/// Returns how long a daemon waits before it tries to become the assigner, after it has noticed that
+/// there is none. `others` are the sizes of the known daemons.
+///
+/// The assigner renews the grants of all servers, which takes a large part of a small machine. So
+/// daemons that are smaller than the largest one known try only after all ranks of that.
+pub fn election_delay(
+    instance: &str,
+    size: InstanceSize,
+    others: impl Iterator<Item = InstanceSize>,
+) -> Millis {
+    let rank = instance.bytes().map(u32::from).sum::<u32>() % RANKS;
+    let largest = others.max();
+    let defers = match largest {
+        Some(largest) => largest.millicores > size.millicores,
+        None => (1..SMALL_MILLICORES).contains(&size.millicores),
+    };
+    STAGGER * u64::from(rank + if defers { RANKS } else { 0 })
+}
--- /dev/null
+++ b/crates/oriolehoist_fleet/tests/fleet.rs
@@ -0,0 +1,110 @@
+//! Which daemons work for the others.
+
+use {
+    fastrand::Rng,
+    googletest::prelude::*,
+    oriolehoist_fleet::{Candidate, MAX_DIRECT, Relays, election_delay},
+    oriolehoist_port::InstanceSize,
+    oriolehoist_time::Millis,
+};
+
+const SMALL: InstanceSize = InstanceSize { millicores: 100, link_mbps: 20 };
+const LARGE: InstanceSize = InstanceSize { millicores: 500, link_mbps: 200 };
+
+/// Returns daemons in zones, of which each has three large ones at the end.
+fn fleet(daemons: usize, zones: usize) -> Vec<Candidate> {
+    let daemon = |index: usize| Candidate {
+        zone: format!("zone-{}", index % zones).into(),
+        size: if index + 3 * zones >= daemons { LARGE } else { SMALL },
+        responds: true,
+        can_relay: true,
+    };
+    (0..daemons).map(daemon).collect()
+}
+
+/// The messages of one round at the busiest daemon, and those between zones.
+fn cost(candidates: &[Candidate]) -> (usize, usize) {
+    let relays = Relays::plan(candidates);
+    let at_assigner = relays.groups.len() + relays.direct.len();
+    let at_relay = relays.groups.iter().map(|group| group.children.len() + 1).max();
+    (at_assigner.max(at_relay.unwrap_or_default()), at_assigner)
+}
+
+#[gtest]
+fn messages_of_the_busiest_daemon_grow_with_the_square_root_of_the_fleet() {
+    for (daemons, zones) in [(30, 4), (100, 4), (300, 6), (1000, 6), (17_000, 12)] {
+        let (busiest, between_zones) = cost(&fleet(daemons, zones));
+        println!("{daemons} daemons: {busiest} at the busiest, {between_zones} between zones");
+        let bound = 1.25 * (daemons as f64).sqrt() + 2.0;
+        expect_that!(busiest as f64, le(bound), "{daemons} daemons");
+    }
+}
+
+#[gtest]
+fn every_daemon_gets_the_messages_once_and_from_its_own_zone() {
+    let mut rng = Rng::with_seed(5);
+    for _ in 0..300 {
+        let zones = rng.usize(1..8);
+        let mut candidates = fleet(rng.usize(1..400), zones);
+        let loss = rng.f64();
+        for candidate in &mut candidates {
+            candidate.responds = rng.f64() >= loss;
+            candidate.can_relay = rng.f64() >= 0.3;
+        }
+        let relays = Relays::plan(&candidates);
+        let mut reached = relays.direct.clone();
+        for group in &relays.groups {
+            expect_that!(candidates[group.relay].responds, eq(true));
+            expect_that!(candidates[group.relay].can_relay, eq(true));
+            reached.push(group.relay);
+            for child in &group.children {
+                expect_that!(candidates[*child].zone, eq(&candidates[group.relay].zone));
+                expect_that!(candidates[*child].responds, eq(true));
+            }
+            reached.extend(&group.children);
+        }
+        reached.sort_unstable();
+        expect_that!(reached, eq(&(0..candidates.len()).collect::<Vec<_>>()));
+    }
+}
+
+#[gtest]
+fn the_largest_daemons_of_a_zone_are_the_relays() {
+    let candidates = fleet(295, 6);
+    let relays = Relays::plan(&candidates);
+    let sizes = relays.groups.iter().map(|group| candidates[group.relay].size);
+    expect_that!(sizes.collect::<Vec<_>>(), each(eq(&LARGE)));
+}
+
+#[gtest]
+fn a_relay_that_does_not_respond_is_replaced() {
+    let mut candidates = fleet(100, 4);
+    let lost = Relays::plan(&candidates).groups[0].relay;
+    candidates[lost].responds = false;
+    let relays = Relays::plan(&candidates);
+    expect_that!(relays.groups.iter().any(|group| group.relay == lost), eq(false));
+    expect_that!(relays.direct, elements_are![eq(&lost)]);
+}
+
+#[gtest]
+fn few_daemons_need_no_relays() {
+    let relays = Relays::plan(&fleet(MAX_DIRECT, 3));
+    expect_that!(relays.groups, is_empty());
+    expect_that!(relays.direct.len(), eq(MAX_DIRECT));
+}
+
+#[gtest]
+fn a_large_daemon_tries_to_become_the_assigner_before_all_small_ones() {
+    let delays = |size: InstanceSize, others: &[InstanceSize]| -> Vec<Millis> {
+        let names = (0..64).map(|index| format!("edge-north-{index}"));
+        names.map(|name| election_delay(&name, size, others.iter().copied())).collect()
+    };
+    let known = [SMALL, LARGE];
+    let latest_large = delays(LARGE, &known).into_iter().max();
+    expect_that!(delays(SMALL, &known).into_iter().min(), gt(latest_large));
+    expect_that!(latest_large, some(lt(Millis(500))));
+    // Also while no daemon knows any other one.
+    expect_that!(delays(SMALL, &[]).into_iter().min(), gt(delays(LARGE, &[]).into_iter().max()));
+    // Among small ones alone, none waits.
+    expect_that!(delays(SMALL, &[SMALL]).into_iter().max(), some(lt(Millis(500))));
+}
