Send the assigner's messages and the servers' loads by way of relays

Callers of fleets of 73 and 295 machines were served by daemons that knew little of the servers and spent their machines on messages. Causes: datagrams on load went from all to all 25 times a second (0.93 GB between zones in 30 s with 73 machines, 273 MB a second with 295); the assigner sent 100 messages a second in all, so with 295 daemons each heard of it every 3 s, listed all servers itself and checked the configuration itself; and the role fell to any machine, mostly one of a tenth of a core.

Beyond 20 daemons the assigner sends its messages to relays, which pass on what they have to their groups as the assigner itself does, with the age of their own contact. Their responses carry the groups' load by key and who did not respond. A relay that misses one message is replaced with the next ones. Loads that servers report go to the relays and on to all. Daemons tell their zone and size, and the largest try first to become the assigner. A daemon that starts with the whole deployment leaves it to the assigner to read the servers.

--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -7,7 +7,9 @@
     },
     bytes::Bytes,
     http::{HeaderName, HeaderValue, Method},
-    oriolehoist_admission::{InFlightOutcome, InFlightRequest, LoadEstimator, StatedAvailability},
+    oriolehoist_admission::{
+        InFlightOutcome, InFlightRequest, LoadEstimator, MeanServiceTime, StatedAvailability,
+    },
     oriolehoist_keyspace::ServerIncarnation,
     oriolehoist_port::{DecodeError, RegisteredServer},
     oriolehoist_time::{Clock, Millis},
@@ -77,11 +79,13 @@
 }
 
 impl Backend {
-    fn new(cx: BackendContext, entry: &RegisteredServer) -> Backend {
-        let service_time = match entry.warm_up_remaining {
-            Millis::ZERO => INITIAL_SERVICE_TIME,
-            _ => INITIAL_SERVICE_TIME * COLD_START_FACTOR,
+    fn new(cx: BackendContext, entry: &RegisteredServer, mean: Arc<MeanServiceTime>) -> Backend {
+        let factor = match entry.warm_up_remaining {
+            Millis::ZERO => 1,
+            _ => COLD_START_FACTOR,
         };
+        let load_estimator = LoadEstimator::new(entry.slots, INITIAL_SERVICE_TIME * factor)
+            .with_mean(mean, factor as f64);
         let mut hasher = std::hash::DefaultHasher::new();
         (&entry.id, entry.started_at).hash(&mut hasher);
         Backend {
@@ -93,7 +97,7 @@
             clock: cx.clock,
             drain_period: cx.drain_period,
             pool: IdlePool::default(),
-            load_estimator: Mutex::new(LoadEstimator::new(entry.slots, service_time)),
+            load_estimator: Mutex::new(load_estimator),
             availability: Mutex::default(),
             malformed_statements: Mutex::default(),
             connection_limit: AtomicU32::new(entry.slots),
@@ -256,6 +260,8 @@
     by_incarnation: HashMap<BackendKey, Arc<Backend>>,
     /// Those without a registration that have said that they leave or pause, and since when.
     departed: HashMap<BackendKey, (Millis, Arc<Backend>)>,
+    /// The mean service times by service.
+    mean_service_times: HashMap<SmolStr, Arc<MeanServiceTime>>,
 }
 
 type BackendKey = (ServerIncarnation, SocketAddr);
@@ -277,7 +283,10 @@
             let key = (incarnation, entry.address);
             let existing = self.by_incarnation.remove(&key);
             let existing = existing.or_else(|| self.departed.remove(&key).map(|entry| entry.1));
-            let backend = existing.unwrap_or_else(|| Arc::new(Backend::new(cx, entry)));
+            let backend = existing.unwrap_or_else(|| {
+                let mean = self.mean_service_times.entry(entry.service.clone()).or_default();
+                Arc::new(Backend::new(cx, entry, Arc::clone(mean)))
+            });
             backend.set_draining_since(draining_since);
             by_id.insert(entry.id.clone(), Arc::clone(&backend));
             next.insert(key, backend);
--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -6,14 +6,17 @@
             claim::Candidacy,
             cluster_state::ClusterState,
             election::campaign,
-            message::{ConfigSource, Input, Member, SyncMessage},
-            peers::{confirm_last_term, send_sync},
+            fanout::{Fanout, SYNC_INTERVAL},
+            message::{ConfigSource, Input, Member},
+            peers::confirm_last_term,
+            relay::RelayDuty,
             tasks::MEMBER_REWRITE_PERIOD,
         },
         process::Shared,
         request::DRAIN_MARGIN,
     },
     kameo::{Actor, actor::ActorRef},
+    oriolehoist_fleet::election_delay,
     oriolehoist_keyspace::AssignmentTable,
     oriolehoist_log::{Event, report},
     oriolehoist_replica::TermVersion,
@@ -28,23 +31,15 @@
 /// sync messages. The assigner confirms its list with each lease renewal, and the next sync message
 /// passes that on. After a change no watch waits for 200 ms, so one renewal may not count.
 const SERVERS_STALE_AFTER: Millis = Millis(900);
-/// The maximum number of large sync messages in flight. Together they have to pass the link of a
-/// small instance before they time out.
-const MAX_BULK_SYNCS: usize = 2;
-/// The additional delay before an election attempt per rank, so that the daemons don't all try at
-/// once.
-const ELECTION_STAGGER: Millis = Millis(60);
-/// The number of ranks that daemons are divided into by their names.
-const ELECTION_RANKS: u32 = 8;
+/// How long a daemon that starts waits for the servers from the assigner before it reads them.
+const FIRST_SERVERS_TIMEOUT: Millis = Millis(2500);
+/// With more ranges than this in the stored table, there are many servers and daemons.
+const MANY_RANGES: usize = 250;
 /// The delay between two attempts to become the assigner.
 pub(super) const ELECTION_RETRY_DELAY: Millis = Millis(250);
-/// The minimum time between two sync messages to a peer.
-const SYNC_INTERVAL: Millis = Millis(200);
 /// A daemon that has not responded to the assigner for this long is not counted as a member until
 /// it responds again.
 const MEMBER_TIMEOUT: Millis = Millis::from_secs(20);
-/// The maximum rate at which the assigner sends sync messages, over all peers.
-const MAX_SYNCS_PER_SECOND: u64 = 100;
 
 /// The actor that owns all control state of a daemon.
 #[derive(Actor)]
@@ -66,6 +61,12 @@
     /// The time within which the assigner sends the next message.
     pub(super) sync_interval: Millis,
     pub(super) term: u64,
+    /// The term of the last assigner that has said that it gives up its role.
+    pub(super) resigned_term: u64,
+    /// What this daemon knows about those that it sends the state to.
+    pub(super) fanout: Fanout,
+    /// The daemons that this one relays the assigner's messages to, if it is a relay.
+    pub(super) relay: Option<RelayDuty>,
     /// Since when a watch of the servers has been waiting for changes, if one has.
     watching_since: Option<Millis>,
     /// Since when a watch of the configuration has been waiting for changes, if one has.
@@ -98,6 +99,9 @@
             assigner_reachable: false,
             sync_interval: SYNC_INTERVAL,
             term: 0,
+            resigned_term: 0,
+            fanout: Fanout::default(),
+            relay: None,
             watching_since: None,
             config_watched_since: None,
         }
@@ -114,11 +118,12 @@
         let assigner_timeout = self.assigner_timeout();
         match &mut self.role {
             Role::Follower { next_election_at } => {
-                let rank = u64::from(
-                    self.local.instance.bytes().map(u32::from).sum::<u32>() % ELECTION_RANKS,
-                );
-                let timed_out =
-                    now.since(self.assigner_seen_at) > assigner_timeout + ELECTION_STAGGER * rank;
+                let seen_at = self.assigner_seen_at.max(self.started_at.since(assigner_timeout));
+                let overdue = now.since(seen_at).since(assigner_timeout);
+                let timed_out = overdue > Millis::ZERO && {
+                    let sizes = self.state.members.get().values().map(|member| member.size);
+                    overdue > election_delay(&self.local.instance, self.local.size, sizes)
+                };
                 if timed_out && self.assigner_reachable {
                     self.assigner_reachable = false;
                     report(Event::AssignerHeard, format_args!("heard=false term={}", self.term));
@@ -166,6 +171,7 @@
                 self.sync_peers(control, false);
             }
         }
+        self.sync_children(control);
         if self.state.expire_servers(&self.cx) {
             if let Role::Assigner(assigner) = &mut self.role {
                 assigner.on_servers(now, &self.state, true);
@@ -193,59 +199,6 @@
         TermVersion { term: self.term, count }
     }
 
-    /// Sends each peer the parts of the state that it lacks. The message also shows that the
-    /// assigner is alive.
-    pub(super) fn sync_peers(&mut self, control: &ActorRef<Control>, resigning: bool) {
-        let now = self.now();
-        let Role::Assigner(assigner) = &mut self.role else { return };
-        let peers = self.registered_members.len() as u64;
-        let interval = SYNC_INTERVAL.max(Millis(peers * 1000 / MAX_SYNCS_PER_SECOND));
-        self.sync_interval = interval;
-        let state = &self.state;
-        let mut bulk_count = assigner.peers.values().filter(|peer| peer.bulk_in_flight).count();
-        for member in self.registered_members.iter().filter(|member| **member != self.local) {
-            let peer = assigner.peer(now, member);
-            let is_due = resigning || now >= peer.next_sync_at;
-            let missing = peer.missing_parts(now, state);
-            if peer.sync_in_flight || !(is_due || missing.is_some()) {
-                continue;
-            }
-            let mut sync = SyncMessage {
-                from: self.local.clone(),
-                term: self.term,
-                versions: state.versions(),
-                interval,
-                servers_age: now.since(state.servers_fresh_at),
-                config_age: Some(self.cx.config_age()),
-                resigning,
-                config: None,
-                servers: None,
-                routes: None,
-                members: None,
-            };
-            // Large messages take turns, so that the link stays free for orders and for the lease.
-            // Meanwhile the peer gets the regular messages.
-            let bulk_allowed = bulk_count < MAX_BULK_SYNCS;
-            if let Some(missing) = missing.filter(|_| bulk_allowed || !peer.awaits_bulk) {
-                let mut complete = sync.clone();
-                let is_bulk = missing.add_to(&mut complete, now, state);
-                peer.awaits_bulk = is_bulk && !bulk_allowed;
-                peer.bulk_in_flight = is_bulk && bulk_allowed;
-                bulk_count += usize::from(peer.bulk_in_flight);
-                if !peer.awaits_bulk {
-                    sync = complete;
-                }
-            }
-            if peer.awaits_bulk && !is_due {
-                continue;
-            }
-            peer.sync_in_flight = true;
-            // A random part keeps the messages to all peers from being sent at the same time.
-            peer.next_sync_at = now + Millis(fastrand::u64(interval.0 * 3 / 4..=interval.0));
-            tokio::spawn(send_sync(Arc::clone(&self.cx), control.clone(), member.clone(), sync));
-        }
-    }
-
     /// Keeps known members although they are not registered.
     fn keep_members(&mut self, known: Vec<Member>) {
         let members = &mut self.registered_members;
@@ -259,11 +212,11 @@
     /// Updates the members to the registered daemons that respond.
     fn update_members(&mut self) {
         let now = self.now();
-        let Role::Assigner(assigner) = &mut self.role else { return };
+        let Role::Assigner(_) = &self.role else { return };
         let mut members = self.registered_members.clone();
         members.retain(|member| {
             *member == self.local
-                || now.since(assigner.peer(now, member).responded_at) < MEMBER_TIMEOUT
+                || now.since(self.fanout.peer(now, member).responded_at) < MEMBER_TIMEOUT
         });
         if !members.iter().eq(self.state.members.get().values()) {
             report(
@@ -354,14 +307,16 @@
                 let newer_config = response.as_ref().and_then(|response| response.config.clone());
                 let has_higher_term =
                     response.as_ref().is_some_and(|response| response.term > self.term);
-                if let Role::Assigner(assigner) = &mut self.role {
-                    let (own, other) = match &response {
-                        Some(response) if !response.is_from(&to) => (None, Some(response)),
-                        response => (response.as_ref(), None),
-                    };
-                    assigner.on_synced(now, &to, own);
-                    // A daemon reports its load once, to whichever message comes first.
-                    assigner.on_load(other.map_or(&[], |response| &response.load));
+                let own = response.as_deref().filter(|response| response.is_from(&to));
+                self.fanout.on_synced(now, &to, own);
+                // A daemon reports its load once, to whichever message comes first.
+                let load = response.as_ref().map_or(&[][..], |response| &response.load);
+                match &mut self.role {
+                    Role::Assigner(assigner) => assigner.on_load(load),
+                    _ => {
+                        let term = response.as_ref().map_or(0, |response| response.term);
+                        self.on_child_synced(load, term);
+                    }
                 }
                 if let Some(bytes) = newer_config {
                     let source = ConfigSource::Daemon(to.instance.clone());
@@ -437,6 +392,15 @@
         let stale_after =
             (self.sync_interval + SERVERS_STALE_AFTER).min(drain_limit.max(SERVERS_STALE_AFTER));
         let stale = self.now().since(self.state.servers_fresh_at) > stale_after;
-        matches!(self.role, Role::Assigner(_)) || stale
+        matches!(self.role, Role::Assigner(_)) || (stale && !self.awaits_first_servers())
+    }
+
+    /// Returns whether this daemon has just started, and leaves it to the assigner to read the
+    /// servers: the callers come later, or there are many daemons that would all read them.
+    fn awaits_first_servers(&self) -> bool {
+        let is_starting = self.state.servers_fresh_at == Millis::ZERO
+            && self.now().since(self.started_at) < FIRST_SERVERS_TIMEOUT;
+        let ranges = self.state.key_routes().values().map(|routes| routes.0.len()).sum::<usize>();
+        is_starting && (self.cx.bootstrap.first_start || ranges > MANY_RANGES)
     }
 }
--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -8,9 +8,8 @@
             claim::{lease_ttl, takeover},
             cluster_state::ClusterState,
             field::OrDash,
-            message::{Input, Member, SyncResponse, TableWrite, TermLease},
+            message::{Input, TableWrite, TermLease},
             orders::OrderSender,
-            peer_state::PeerState,
             reclaim::Suspension,
             store::{StoreClient, StoreError},
             table::write_table,
@@ -26,10 +25,7 @@
     oriolehoist_port::{LeaseId, Revision, StoreRequest, StoreResponse},
     oriolehoist_time::Millis,
     smol_str::SmolStr,
-    std::{
-        collections::{BTreeMap, HashMap},
-        sync::Arc,
-    },
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// The time between renewals of the assigner's lease.
@@ -81,8 +77,6 @@
     /// Until this time servers may have grants that this daemon does not know. Keys are neither
     /// assigned nor granted before.
     act_after: Millis,
-    /// The state of each peer, by the name of its instance.
-    pub(crate) peers: HashMap<SmolStr, PeerState>,
 }
 
 impl Assigner {
@@ -124,7 +118,6 @@
             next_statements_at: now,
             plan_after: if now.since(started) < STARTUP_GRACE { now + STARTUP_GRACE } else { now },
             act_after,
-            peers: HashMap::new(),
         };
         if let Some(table) = table {
             // Of an outdated table nothing holds any more when this assigner starts to act.
@@ -416,28 +409,6 @@
         }
     }
 
-    /// Returns the state of a peer. A new incarnation starts without any state.
-    pub(crate) fn peer(&mut self, now: Millis, member: &Member) -> &mut PeerState {
-        let new = || PeerState::new(now, member.incarnation);
-        let peer = self.peers.entry(member.instance.clone()).or_insert_with(new);
-        if peer.incarnation != member.incarnation {
-            *peer = new();
-        }
-        peer
-    }
-
-    /// Handles a peer's response, or `None` if there was none.
-    pub(crate) fn on_synced(&mut self, now: Millis, to: &Member, response: Option<&SyncResponse>) {
-        let peer = self.peer(now, to);
-        peer.sync_in_flight = false;
-        peer.bulk_in_flight = false;
-        peer.confirmed = response.map(|response| response.versions);
-        if let Some(response) = response {
-            peer.responded_at = now;
-            self.on_load(&response.load);
-        }
-    }
-
     /// Adds the request counts and service times measured by a daemon.
     pub(crate) fn on_load(&mut self, reports: &[(SmolStr, LoadReport)]) {
         for (service, report) in reports {
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -8,7 +8,6 @@
     oriolehoist_log::{Event, report},
     oriolehoist_port::{Revision, StoreEra},
     oriolehoist_replica::TermVersion,
-    oriolehoist_time::Millis,
 };
 
 impl Control {
@@ -27,18 +26,31 @@
                 report(Event::AssignerHeard, format_args!("heard=true term={term} from={from}"));
             }
             self.sync_interval = sync.interval;
-            // A resigning assigner counts as lost at once, so that an election does not wait for
-            // the timeout.
-            let elapsed = if sync.resigning { self.assigner_timeout() } else { Millis::ZERO };
-            self.assigner_seen_at = now.since(elapsed);
+            let seen_at = now.since(sync.relayed_after.unwrap_or_default());
+            if sync.resigning {
+                // A resigning assigner counts as lost at once, so that an election does not wait for
+                // the timeout.
+                self.assigner_seen_at = now.since(self.assigner_timeout());
+                self.resigned_term = sync.term;
+            } else if sync.term != self.resigned_term {
+                self.assigner_seen_at = self.assigner_seen_at.max(seen_at);
+            }
+            self.update_relay_duty(&sync);
             self.apply_sync(sync);
         }
+        let mut load = self.cx.take_load_reports();
+        load.extend(self.take_relayed_load());
         SyncResponse {
             from: Some(self.local.clone()),
-            term: self.term,
+            term: self.highest_known_term(),
             versions: self.state.versions(),
             config: None,
-            load: self.cx.take_load_reports(),
+            load,
+            unresponsive: self
+                .relay
+                .as_ref()
+                .map(|_| self.fanout.unresponsive())
+                .unwrap_or_default(),
         }
     }
 
@@ -84,6 +96,9 @@
             servers_age: self.now().since(state.servers_fresh_at),
             config_age: Some(self.cx.config_age()),
             resigning: false,
+            relayed_after: None,
+            children: Vec::new(),
+            relays: Vec::new(),
             config: state.config.as_ref().map(|_| state.config_bytes.clone()),
             servers: Some(state.registry.changes_since(self.now(), Revision::default())),
             routes: Some(state.routes.update_since(TermVersion::default())),
--- a/crates/oriolehoist_edge/src/control/load_gossip.rs
+++ b/crates/oriolehoist_edge/src/control/load_gossip.rs
@@ -5,17 +5,27 @@
 //!
 //! Many daemons share servers with few slots. The load that a server reports reaches only the
 //! daemon that receives the response, and is outdated by the next request.
+//!
+//! In a large fleet each daemon has too few requests in flight for their numbers to say much, and
+//! messages from all to all would take up its machine. There, the daemons tell each other by way of
+//! relays what load the servers have reported.
 
 use {
-    crate::{process::Shared, request::observe_report},
+    crate::{
+        process::{LoadPeers, Shared, lock},
+        request::observe_report,
+        version::View,
+    },
     oriolehoist_admission::{RateReport, RequestCounts},
+    oriolehoist_fleet::{LoadExchange, LoadNews, MAX_DIRECT, Source},
     oriolehoist_log::{Event, report},
     oriolehoist_time::Millis,
     serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, Mutex},
         time::Duration,
     },
     tokio::{net::UdpSocket, time::sleep},
@@ -23,6 +33,12 @@
 
 /// The time between two messages.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(40);
+/// The time between two messages in a large fleet.
+const RELAYED_INTERVAL: Duration = Duration::from_millis(100);
+/// The maximum number of loads in a message of a large fleet.
+const MAX_NEWS_PER_DATAGRAM: usize = 100;
+/// The maximum rate of messages on limits, over all peers.
+const MAX_LIMIT_MESSAGES_PER_SECOND: u64 = 350;
 /// How long the counts of a peer are used, so that a few messages may be lost.
 const PEER_LOAD_TTL: Millis = Millis(200);
 /// The maximum size of a message, in bytes.
@@ -45,6 +61,19 @@
     limits: BTreeMap<u32, RateReport>,
 }
 
+/// What a daemon of a large fleet tells others. It has another form than [`LoadMessage`], so that each
+/// is malformed to who expects the other one.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct RelayedLoads {
+    /// Tells the message from others.
+    format: SmolStr,
+    news: Vec<LoadNews>,
+    reserved: u8,
+}
+
+/// The format of [`RelayedLoads`].
+const RELAYED_FORMAT: &str = "loads-1";
+
 impl LoadMessage {
     fn is_empty(&self) -> bool {
         self.in_flight.is_empty() && self.limits.is_empty()
@@ -62,17 +91,113 @@
             return;
         }
     };
+    let exchange: Arc<Mutex<LoadExchange>> = Arc::default();
     tokio::spawn(send(Arc::clone(&cx), Arc::clone(&socket), address.port()));
-    receive(cx, &socket).await;
+    let port = address.port();
+    tokio::spawn(send_relayed(Arc::clone(&cx), Arc::clone(&socket), port, Arc::clone(&exchange)));
+    receive(cx, &socket, &exchange).await;
+}
+
+/// Sends the loads that servers have reported to the relay or, as a relay, to the other relays and
+/// to the children.
+async fn send_relayed(
+    cx: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    port: u16,
+    exchange: Arc<Mutex<LoadExchange>>,
+) {
+    let mut sent_at = cx.clock.now();
+    // The servers whose last load was notable, so that the end of that is told as well.
+    let mut notable: HashSet<u32> = HashSet::new();
+    loop {
+        sleep(RELAYED_INTERVAL).await;
+        let peers = cx.load_peers();
+        let LoadPeers::Relayed { up, down } = &*peers else { continue };
+        let Some(view) = cx.view.load() else { continue };
+        let now = cx.clock.now();
+        let (upwards, downwards) = {
+            let mut exchange = lock(&exchange);
+            exchange.expire(now);
+            for (server, backend) in &view.backends_by_short_id {
+                let (report, is_notable) = {
+                    let estimator = backend.load_estimator();
+                    let Some(report) = estimator.own_report() else { continue };
+                    (report, estimator.is_notable(report.1))
+                };
+                let was_notable = match is_notable {
+                    true => !notable.insert(*server),
+                    false => notable.remove(server),
+                };
+                if report.0 > sent_at && (is_notable || was_notable) {
+                    let age = now.since(report.0).0 as u16;
+                    let load = u16::try_from(report.1).unwrap_or(u16::MAX);
+                    let news = LoadNews { server: *server, load, age };
+                    exchange.learn(now, Source::Below, news);
+                }
+            }
+            let downwards = match down.is_empty() {
+                true => Vec::new(),
+                false => exchange.news(now, sent_at, false),
+            };
+            (exchange.news(now, sent_at, true), downwards)
+        };
+        sent_at = now;
+        for (news, receivers) in [(upwards, up), (downwards, down)] {
+            for part in news.chunks(MAX_NEWS_PER_DATAGRAM) {
+                let format = RELAYED_FORMAT.into();
+                let message = RelayedLoads { format, news: part.to_vec(), reserved: 0 };
+                let Ok(bytes) = rmp_serde::to_vec(&message) else { continue };
+                for peer in receivers {
+                    // A lost message is made up for by the next report.
+                    let _ = socket.send_to(&bytes, SocketAddr::new(peer.ip(), port)).await;
+                }
+            }
+        }
+    }
+}
+
+fn receive_relayed(
+    cx: &Shared,
+    view: &View,
+    exchange: &Mutex<LoadExchange>,
+    from: SocketAddr,
+    message: RelayedLoads,
+) {
+    let now = cx.clock.now();
+    let source = match &*cx.load_peers() {
+        LoadPeers::Relayed { down, .. } if down.iter().any(|peer| peer.ip() == from.ip()) => {
+            Source::Below
+        }
+        _ => Source::Above,
+    };
+    let mut exchange = lock(exchange);
+    for news in message.news {
+        if exchange.learn(now, source, news)
+            && let Some(backend) = view.backends_by_short_id.get(&news.server)
+        {
+            let reported_at = now.since(Millis(u64::from(news.age)));
+            backend.load_estimator().on_shared_report(reported_at, u32::from(news.load));
+        }
+    }
 }
 
 async fn send(cx: Arc<Shared>, socket: Arc<UdpSocket>, port: u16) {
     let mut sent_last_time = false;
+    let mut last_sent_at = Millis::ZERO;
     let mut reported: BTreeMap<u32, (Millis, RequestCounts)> = BTreeMap::new();
     loop {
         sleep(GOSSIP_INTERVAL).await;
         let Some(view) = cx.view.load() else { continue };
         let now = cx.clock.now();
+        let is_large = view.peer_addresses.len() > MAX_DIRECT;
+        if is_large {
+            let peers = view.peer_addresses.len() as u64;
+            let interval = Millis(peers * 1000 / MAX_LIMIT_MESSAGES_PER_SECOND);
+            if now.since(last_sent_at) < interval {
+                continue;
+            }
+        }
+        last_sent_at = now;
         let counts = view.backends.values().filter_map(|backend| {
             Some((backend.short_id, backend.load_estimator().in_flight_if_busy(now)?))
         });
@@ -84,7 +209,10 @@
             is_due.then_some((backend.short_id, report))
         });
         let message = LoadMessage {
-            in_flight: counts.take(MAX_SERVERS_PER_DATAGRAM).collect(),
+            in_flight: match is_large {
+                true => BTreeMap::new(),
+                false => counts.take(MAX_SERVERS_PER_DATAGRAM).collect(),
+            },
             limits: limits.take(MAX_LIMITS_PER_DATAGRAM).collect(),
         };
         reported.retain(|server, _| view.backends_by_short_id.contains_key(server));
@@ -103,7 +231,7 @@
     }
 }
 
-async fn receive(cx: Arc<Shared>, socket: &UdpSocket) {
+async fn receive(cx: Arc<Shared>, socket: &UdpSocket, exchange: &Mutex<LoadExchange>) {
     let mut peers: HashMap<SocketAddr, (Millis, LoadMessage)> = HashMap::new();
     let mut buf = [0; MAX_DATAGRAM_BYTES];
     loop {
@@ -111,6 +239,14 @@
             sleep(GOSSIP_INTERVAL).await;
             continue;
         };
+        if let Ok(message) = rmp_serde::from_slice::<RelayedLoads>(&buf[..length]) {
+            if message.format == RELAYED_FORMAT
+                && let Some(view) = cx.view.load()
+            {
+                receive_relayed(&cx, &view, exchange, from, message);
+            }
+            continue;
+        }
         let Ok(mut message) = rmp_serde::from_slice::<LoadMessage>(&buf[..length]) else {
             continue;
         };
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -9,7 +9,7 @@
     oriolehoist_keyspace::{
         AssignmentTable, FenceCounter, Holder, LoadReport, OrderId, OrderOutcome,
     },
-    oriolehoist_port::{Revision, StoreResponse},
+    oriolehoist_port::{InstanceSize, Revision, StoreResponse},
     oriolehoist_protocol::Incarnation,
     oriolehoist_registry::{Registry, RegistryChanges, RegistryVersion},
     oriolehoist_replica::{MapUpdate, TermVersion},
@@ -28,6 +28,14 @@
     pub(crate) instance: SmolStr,
     pub(crate) incarnation: Incarnation,
     pub(crate) address: SocketAddr,
+    /// Missing in the entries of older versions, like the size.
+    #[serde(default)]
+    pub(crate) zone: SmolStr,
+    #[serde(default)]
+    pub(crate) size: InstanceSize,
+    /// Whether it can relay the assigner's messages.
+    #[serde(default)]
+    pub(crate) relays: bool,
 }
 
 /// The version of each part of the state that a daemon has.
@@ -61,6 +69,15 @@
     pub(crate) config_age: Option<Millis>,
     /// Whether the assigner is about to give up its role.
     pub(crate) resigning: bool,
+    /// The time since a relay last heard from the assigner, or `None` if the sender is the assigner.
+    #[serde(default)]
+    pub(crate) relayed_after: Option<Millis>,
+    /// The daemons that the receiver relays the state to.
+    #[serde(default)]
+    pub(crate) children: Vec<SmolStr>,
+    /// All relays, if the receiver is one.
+    #[serde(default)]
+    pub(crate) relays: Vec<SmolStr>,
     pub(crate) config: Option<Bytes>,
     pub(crate) servers: Option<RegistryChanges>,
     pub(crate) routes: Option<MapUpdate<RouteKey, RouteEntry>>,
@@ -80,6 +97,9 @@
     pub(crate) config: Option<Bytes>,
     /// The requests and service times measured by the daemon since its last response, by service.
     pub(crate) load: Vec<(SmolStr, LoadReport)>,
+    /// The daemons that a relay can't reach.
+    #[serde(default)]
+    pub(crate) unresponsive: Vec<SmolStr>,
 }
 
 impl SyncResponse {
@@ -135,7 +155,7 @@
     /// The registered members were read from the store.
     Members(Vec<Member>),
     /// A peer responded to a [`SyncMessage`], or did not respond.
-    Synced { to: Member, response: Option<SyncResponse> },
+    Synced { to: Member, response: Option<Box<SyncResponse>> },
     /// An attempt to become the assigner has ended.
     ElectionEnded { outcome: ElectionOutcome, candidacy: Candidacy },
     /// The result of a renewal of the assigner's lease that was sent at `sent_at`.
--- a/crates/oriolehoist_edge/src/control/peer_state.rs
+++ b/crates/oriolehoist_edge/src/control/peer_state.rs
@@ -27,8 +27,10 @@
     /// Whether the peer lacks so much that it waits for its turn to get a large message.
     pub(crate) awaits_bulk: bool,
     pub(crate) next_sync_at: Millis,
-    /// When the peer last responded, or when it was first seen.
+    /// When the peer last responded, also to a relay, or when it was first seen.
     pub(crate) responded_at: Millis,
+    /// Whether it confirmed the last message, from this daemon or from a relay.
+    pub(crate) responds: bool,
 }
 
 impl PeerState {
@@ -41,6 +43,7 @@
             awaits_bulk: false,
             next_sync_at: Millis::ZERO,
             responded_at: now,
+            responds: true,
         }
     }
 
--- a/crates/oriolehoist_edge/src/control/peers.rs
+++ b/crates/oriolehoist_edge/src/control/peers.rs
@@ -141,6 +141,7 @@
         );
     }
     // The actor runs until the process exits.
+    let response = response.map(Box::new);
     let _ = control.tell(Input::Synced { to, response }).await;
 }
 
--- a/crates/oriolehoist_edge/src/control/reclaim.rs
+++ b/crates/oriolehoist_edge/src/control/reclaim.rs
@@ -7,6 +7,7 @@
         assigner::{Assigner, STARTUP_GRACE},
         claim::Candidacy,
         election::campaign,
+        fanout::Fanout,
         message::{ElectionOutcome, Input, Member},
     },
     kameo::actor::ActorRef,
@@ -122,7 +123,7 @@
         let Some(mut assigner) = self.retired.take() else { return false };
         assigner.resume(now, *term_lease, *fences);
         // Responses of the peers since the lease ended are lost.
-        assigner.peers.clear();
+        self.fanout = Fanout::default();
         assigner.wait_for_servers(self.state.registry.settles_at());
         assigner.on_servers(now, &self.state, true);
         self.role = Role::Assigner(assigner);
--- a/crates/oriolehoist_edge/src/control/term.rs
+++ b/crates/oriolehoist_edge/src/control/term.rs
@@ -5,6 +5,7 @@
         actor::{Control, ELECTION_RETRY_DELAY, Role},
         assigner::Assigner,
         claim::Candidacy,
+        fanout::Fanout,
         field::OrDash,
         message::ElectionOutcome,
     },
@@ -48,6 +49,7 @@
             Assigner::new(&self.cx, self.started_at, term_lease, table, fences, &self.state);
         assigner.wait_for_servers(self.state.registry.settles_at());
         self.retired = None;
+        self.fanout = Fanout::default();
         self.begin_term(term_lease.term);
         self.role = Role::Assigner(Box::new(assigner));
         // The members known from the previous assigner, until the registered ones have been read.
@@ -58,6 +60,7 @@
     /// Begins a term as the assigner.
     pub(super) fn begin_term(&mut self, term: Revision) {
         self.term = term.0;
+        self.relay = None;
         let era = OrDash(self.cx.store_era());
         report(Event::TermWon, format_args!("term={} era={era}", self.term));
         // A version of the new term, so that the peers get what they lack.
--- a/crates/oriolehoist_edge/src/process/daemon.rs
+++ b/crates/oriolehoist_edge/src/process/daemon.rs
@@ -116,6 +116,9 @@
         instance: cx.bootstrap.instance.clone(),
         incarnation: cx.incarnation,
         address: cx.bootstrap.peer_address,
+        zone: cx.bootstrap.zone.clone(),
+        size: cx.bootstrap.size,
+        relays: true,
     };
     let peers = listen(cx.bootstrap.peer_address)?;
     let readiness = listen(cx.bootstrap.readiness_address)?;
--- a/crates/oriolehoist_edge/src/process/mod.rs
+++ b/crates/oriolehoist_edge/src/process/mod.rs
@@ -7,5 +7,5 @@
 pub use daemon::run;
 pub(crate) use {
     metrics::Metrics,
-    shared::{Shared, lock},
+    shared::{LoadPeers, Shared, lock},
 };
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -15,7 +15,7 @@
     smol_str::SmolStr,
     std::{
         collections::{BTreeMap, HashMap},
-        net::IpAddr,
+        net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -55,6 +55,16 @@
 /// The maximum number of crash suspects waiting to be sent to the other daemons.
 const SUSPECT_NOTICE_CAPACITY: usize = 64;
 
+/// The daemons with which this one exchanges what it knows of the servers' load.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum LoadPeers {
+    /// All others.
+    #[default]
+    All,
+    /// The peer addresses of relays, and of the daemons that this one is the relay of.
+    Relayed { up: Vec<SocketAddr>, down: Vec<SocketAddr> },
+}
+
 /// An era of the store, and since when this daemon knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ObservedEra {
@@ -78,6 +88,7 @@
     config_confirmed_at: AtomicU64,
     /// The latest known era of the store, if any response named one.
     store_era: watch::Sender<Option<ObservedEra>>,
+    load_peers: Published<LoadPeers>,
     retry_budgets: Mutex<RetryBudgets<SmolStr>>,
     /// Requests that were in flight at servers when those crashed.
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
@@ -116,6 +127,7 @@
             servers_confirmed_at: AtomicU64::new(0),
             config_confirmed_at: AtomicU64::new(0),
             store_era: watch::Sender::default(),
+            load_peers: Published::default(),
             retry_budgets: Mutex::default(),
             crash_suspects: Mutex::new(CrashSuspects::with_quarantine_threshold(
                 QUARANTINE_THRESHOLD,
@@ -131,6 +143,18 @@
         self.bootstrap.peer_address.ip()
     }
 
+    /// Sets with which daemons this one exchanges what it knows of the servers' load.
+    pub(crate) fn set_load_peers(&self, peers: LoadPeers) {
+        if *self.load_peers() != peers {
+            self.load_peers.publish(peers);
+        }
+    }
+
+    /// Returns with which daemons this one exchanges what it knows of the servers' load.
+    pub(crate) fn load_peers(&self) -> Arc<LoadPeers> {
+        self.load_peers.load().unwrap_or_default()
+    }
+
     /// Returns what all backend servers have in common.
     pub(crate) fn backend_context(&self) -> BackendContext {
         BackendContext {
--- a/crates/oriolehoist_edge/src/request/select.rs
+++ b/crates/oriolehoist_edge/src/request/select.rs
@@ -10,6 +10,7 @@
             refusal::Refusal,
         },
     },
+    oriolehoist_admission::{ServerOption, choose_server},
     oriolehoist_keyspace::Holder,
     oriolehoist_refusal::RefusalKind,
     oriolehoist_time::Millis,
@@ -17,12 +18,6 @@
     std::sync::Arc,
 };
 
-/// How much longer a response may be expected to take from the daemon's own availability zone
-/// before a server in another zone is preferred, because traffic between zones is charged for.
-const CROSS_ZONE_PENALTY: Millis = Millis(25);
-/// Random jitter that is added to the expected latency, in milliseconds, so that similar servers
-/// share the load.
-const RANDOM_JITTER_MS: u64 = 12;
 /// How long before the end of its drain period a server stops getting requests. It covers the time
 /// that the news of its last state was on its way, 500 ms at most, and the sending of the request.
 pub(crate) const DRAIN_MARGIN: Millis = Millis(900);
@@ -96,6 +91,27 @@
     }
 }
 
+/// A server that may get a request.
+struct Candidate<'a> {
+    cx: &'a Shared,
+    server: &'a Arc<Backend>,
+    now: Millis,
+}
+
+impl ServerOption for Candidate<'_> {
+    fn expected_latency(&self) -> Millis {
+        self.server.load_estimator().expected_latency(self.now)
+    }
+
+    fn is_local(&self) -> bool {
+        self.server.zone == self.cx.bootstrap.zone
+    }
+
+    fn is_untried(&self) -> bool {
+        self.server.load_estimator().is_untried()
+    }
+}
+
 fn select_any_server(
     cx: &Shared,
     request: &RoutedRequest,
@@ -143,22 +159,11 @@
         .into_iter()
         .filter(|server| !has_untried || !tried.contains(&server.incarnation.id))
         .filter(|server| !server.is_at_connection_limit());
-    // On average one daemon at a time tries a new server, because a server that has just started is
-    // slow.
-    let may_try_new = fastrand::usize(0..request.view.daemon_count.max(1)) == 0;
-    let cost = |server: &Arc<Backend>| {
-        if may_try_new && server.load_estimator().is_untried() {
-            return Millis::ZERO;
-        }
-        let zone = match server.zone == cx.bootstrap.zone {
-            true => Millis::ZERO,
-            false => CROSS_ZONE_PENALTY,
-        };
-        server.load_estimator().expected_latency(now)
-            + zone
-            + Millis(fastrand::u64(0..=RANDOM_JITTER_MS))
-    };
-    match candidates.min_by_key(|server| cost(server)) {
+    let options: Vec<Candidate> = candidates.map(|server| Candidate { cx, server, now }).collect();
+    let daemons = request.view.daemon_count;
+    match choose_server(&options, daemons, &mut fastrand::Rng::new())
+        .map(|chosen| options[chosen].server)
+    {
         Some(server) => Selection::Server(Arc::clone(server)),
         None => {
             let refusal = Refusal::new(
--- a/crates/oriolehoist_port/src/boot.rs
+++ b/crates/oriolehoist_port/src/boot.rs
@@ -1,4 +1,21 @@
-use {oriolehoist_time::Millis, smol_str::SmolStr, std::net::SocketAddr};
+use {
+    oriolehoist_time::Millis,
+    serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
+    std::net::SocketAddr,
+};
+
+/// The size of the machine that an instance runs on. Larger ones compare as greater; an unknown size
+/// is the smallest.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct InstanceSize {
+    /// Its share of processor cores, in thousandths of a core.
+    pub millicores: u32,
+    /// The bandwidth of its link, in megabits per second.
+    pub link_mbps: u32,
+}
 
 /// The settings a process starts with.
 #[derive(Clone, Debug)]
@@ -7,6 +24,10 @@
     pub instance: SmolStr,
     /// The availability zone of the instance.
     pub zone: SmolStr,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
+    /// The size of the machine.
+    pub size: InstanceSize,
     /// The address that callers connect to.
     pub caller_address: SocketAddr,
     /// The address of the readiness endpoint that the load balancer probes.
--- a/crates/oriolehoist_port/src/lib.rs
+++ b/crates/oriolehoist_port/src/lib.rs
@@ -19,7 +19,7 @@
 mod store;
 
 pub use {
-    boot::{BootstrapConfig, OperationalBounds},
+    boot::{BootstrapConfig, InstanceSize, OperationalBounds},
     configuration::{CallerLimits, Configuration, Route, ServiceSpec},
     order::{Handover, KeyRange, Order, OrderResponse},
     platform::{
