Drop datagrams of strangers and malformed ones with a line in the log

What another daemon says of the servers' load decides where requests go. Datagrams were taken from anyone, and malformed ones vanished without a trace. Only members are heard now, and each sender is logged once.

--- a/crates/oriolehoist_edge/src/control/load_gossip.rs
+++ b/crates/oriolehoist_edge/src/control/load_gossip.rs
@@ -24,7 +24,7 @@
     smol_str::SmolStr,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -37,6 +37,8 @@
 const RELAYED_INTERVAL: Duration = Duration::from_millis(100);
 /// The maximum number of loads in a message of a large fleet.
 const MAX_NEWS_PER_DATAGRAM: usize = 100;
+/// The maximum number of senders whose malformed messages are logged.
+const MAX_REPORTED_SENDERS: usize = 64;
 /// The maximum rate of messages on limits, over all peers.
 const MAX_LIMIT_MESSAGES_PER_SECOND: u64 = 350;
 /// How long the counts of a peer are used, so that a few messages may be lost.
@@ -231,30 +233,49 @@
     }
 }
 
+/// Returns whether nothing has been reported of this sender yet.
+fn is_news(reported: &mut HashSet<IpAddr>, sender: IpAddr) -> bool {
+    reported.len() < MAX_REPORTED_SENDERS && reported.insert(sender)
+}
+
 async fn receive(cx: Arc<Shared>, socket: &UdpSocket, exchange: &Mutex<LoadExchange>) {
     let mut peers: HashMap<SocketAddr, (Millis, LoadMessage)> = HashMap::new();
     let mut buf = [0; MAX_DATAGRAM_BYTES];
+    let mut reported_strangers: HashSet<IpAddr> = HashSet::new();
+    let mut reported_malformed: HashSet<IpAddr> = HashSet::new();
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buf).await else {
             sleep(GOSSIP_INTERVAL).await;
             continue;
         };
-        if let Ok(message) = rmp_serde::from_slice::<RelayedLoads>(&buf[..length]) {
-            if message.format == RELAYED_FORMAT
-                && let Some(view) = cx.view.load()
-            {
-                receive_relayed(&cx, &view, exchange, from, message);
+        let Some(view) = cx.view.load() else { continue };
+        if !view.peer_ips.contains(&from.ip()) {
+            if is_news(&mut reported_strangers, from.ip()) {
+                report(Event::PeerMalformed, format_args!("datagrams={from} error=\"no member\""));
             }
             continue;
         }
-        let Ok(mut message) = rmp_serde::from_slice::<LoadMessage>(&buf[..length]) else {
-            continue;
+        let message = &buf[..length];
+        let mut message = match rmp_serde::from_slice::<RelayedLoads>(message) {
+            Ok(message) if message.format == RELAYED_FORMAT => {
+                receive_relayed(&cx, &view, exchange, from, message);
+                continue;
+            }
+            _ => match rmp_serde::from_slice::<LoadMessage>(message) {
+                Ok(message) => message,
+                Err(error) => {
+                    if is_news(&mut reported_malformed, from.ip()) {
+                        let text = format_args!("datagrams={from} error=\"{error}\"");
+                        report(Event::PeerMalformed, text);
+                    }
+                    continue;
+                }
+            },
         };
         let now = cx.clock.now();
         let limits = std::mem::take(&mut message.limits);
         let previous = peers.insert(from, (now, message));
         peers.retain(|_, (received_at, _)| now.since(*received_at) < PEER_LOAD_TTL);
-        let Some(view) = cx.view.load() else { continue };
         for (short_id, rate) in limits {
             if let Some(backend) = view.backends_by_short_id.get(&short_id) {
                 observe_report(&cx, backend, from, rate);
--- a/crates/oriolehoist_edge/src/version/view.rs
+++ b/crates/oriolehoist_edge/src/version/view.rs
@@ -5,8 +5,8 @@
     oriolehoist_port::{Configuration, Route},
     smol_str::SmolStr,
     std::{
-        collections::{BTreeMap, HashMap},
-        net::SocketAddr,
+        collections::{BTreeMap, HashMap, HashSet},
+        net::{IpAddr, SocketAddr},
         sync::Arc,
     },
 };
@@ -40,6 +40,8 @@
     routes_by_host: HashMap<SmolStr, Vec<usize>>,
     /// The priorities of the routes, the most urgent first.
     priorities: Vec<u32>,
+    /// The addresses from which the other daemons send datagrams.
+    pub(crate) peer_ips: HashSet<IpAddr>,
     /// All known servers, by short id.
     pub(crate) backends_by_short_id: HashMap<u32, Arc<Backend>>,
 }
@@ -62,7 +64,8 @@
             parts.config.routes.iter().map(|route| route.priority).collect();
         priorities.sort_unstable();
         priorities.dedup();
-        View { parts, routes_by_host, priorities, backends_by_short_id }
+        let peer_ips = parts.peer_addresses.iter().map(SocketAddr::ip).collect();
+        View { parts, routes_by_host, priorities, peer_ips, backends_by_short_id }
     }
 }
 
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -6,6 +6,7 @@
 mod load;
 mod log_lines;
 mod rate_limits;
+mod relays;
 mod requests;
 mod server_statements;
 mod servers;
