Grant keys for longer to servers whose work takes long

The deployments before had work of 0.09 to 0.24 s, so it never showed.

A grant now lasts four times the mean service time of its service, as measured, and 0.9 s for the age of a renewal, from 1.85 to 5 s. With the former work nothing changes. A lost server's keys stay without an owner as much longer.

The test fails without the measured work.

--- a/crates/oriolehoist_edge/src/control/assigner.rs
+++ b/crates/oriolehoist_edge/src/control/assigner.rs
@@ -18,8 +18,8 @@
     },
     kameo::actor::ActorRef,
     oriolehoist_keyspace::{
-        AssignmentTable, DEFAULT_GRANT_DURATION, FenceCounter, KeyRoutes, LoadReport, OrderId,
-        OrderOutcome, RangeAssigner, StatedNeeds,
+        AssignmentTable, FenceCounter, KeyRoutes, LoadReport, OrderId, OrderOutcome, RangeAssigner,
+        StatedNeeds,
     },
     oriolehoist_log::{Event, report},
     oriolehoist_port::{LeaseId, Revision, StoreRequest, StoreResponse},
@@ -377,12 +377,13 @@
     }
 
     fn send_orders(&mut self, now: Millis, cx: &Arc<Shared>, control: &ActorRef<Control>) {
-        let grant_duration = match self.lease_at_risk {
-            true => cx.bootstrap.bounds.max_grant_duration,
-            false => DEFAULT_GRANT_DURATION.min(cx.bootstrap.bounds.max_grant_duration),
-        };
+        let max_grant_duration = cx.bootstrap.bounds.max_grant_duration;
         let table_version = self.stored_version;
         for (service, range_assigner) in &mut self.range_assigners {
+            let grant_duration = match self.lease_at_risk {
+                true => max_grant_duration,
+                false => range_assigner.grant_duration().min(max_grant_duration),
+            };
             for order in range_assigner.due_orders(now, grant_duration, &mut self.fences) {
                 let (order_sender, control) = (Arc::clone(&self.order_sender), control.clone());
                 let (term, service) = (self.first_term, service.clone());
--- a/crates/oriolehoist_keyspace/src/assigner.rs
+++ b/crates/oriolehoist_keyspace/src/assigner.rs
@@ -4,8 +4,11 @@
         load::KeyLoad,
         orders::OrderInFlight,
         segment::{Ownership, Phase, Revocation, Segment},
-        server::{Server, ServerIndex, Status},
-        timing::latest_grant_expiry,
+        server::{Server, ServerIndex, ServiceTime, Status},
+        timing::{
+            DEFAULT_GRANT_DURATION, GRANT_TIMEOUT, MAX_DEFAULT_GRANT_DURATION, RENEWAL_INTERVAL,
+            WORK_ALLOWANCE, latest_grant_expiry,
+        },
     },
     oriolehoist_port::{RegisteredServer, ServerState},
     oriolehoist_time::Millis,
@@ -207,6 +210,16 @@
         std::mem::take(&mut self.stored_table_stale)
     }
 
+    /// Returns how long grants last while the store is available: longer for servers whose work takes
+    /// long, since work that outlasts the grant that it began under fails.
+    pub fn grant_duration(&self) -> Millis {
+        let work = ServiceTime::mean(self.servers.iter().map(|server| server.service_time), 0.0);
+        // A grant may be this old when work begins.
+        let age = RENEWAL_INTERVAL + GRANT_TIMEOUT;
+        let duration = Millis((work * WORK_ALLOWANCE) as u64) + age;
+        duration.min(MAX_DEFAULT_GRANT_DURATION).max(DEFAULT_GRANT_DURATION)
+    }
+
     /// Returns whether no keys have been assigned yet.
     pub fn is_unassigned(&self) -> bool {
         self.segments.is_empty()
--- a/crates/oriolehoist_keyspace/src/timing.rs
+++ b/crates/oriolehoist_keyspace/src/timing.rs
@@ -4,6 +4,12 @@
 /// for longer after the assigner is lost; a shorter one frees the keys of a lost server sooner,
 /// which must be served again within 2 s.
 pub const DEFAULT_GRANT_DURATION: Millis = Millis(1850);
+/// How many times the mean service time a grant outlasts its renewal. A server fails work that lasts
+/// longer than the grant that it began under; with the usual spread, one request in fifty takes longer
+/// than four times the mean.
+pub(crate) const WORK_ALLOWANCE: f32 = 4.0;
+/// The longest grant while the store is available.
+pub(crate) const MAX_DEFAULT_GRANT_DURATION: Millis = Millis(5000);
 /// The interval between renewals, short enough that several can be lost before a grant expires.
 pub(crate) const RENEWAL_INTERVAL: Millis = Millis(500);
 /// The delay before a failed order is sent again.
--- a/crates/oriolehoist_keyspace/tests/directed/ownership_end.rs
+++ b/crates/oriolehoist_keyspace/tests/directed/ownership_end.rs
@@ -3,7 +3,9 @@
 use {
     crate::support::*,
     googletest::prelude::*,
-    oriolehoist_keyspace::{DEFAULT_GRANT_DURATION, Holder, OrderOutcome, OutgoingOrder},
+    oriolehoist_keyspace::{
+        DEFAULT_GRANT_DURATION, Holder, LoadReport, OrderOutcome, OutgoingOrder,
+    },
     oriolehoist_port::{Order, OrderResponse, RegisteredServer, ServerState},
     oriolehoist_time::Millis,
 };
@@ -225,3 +227,21 @@
         expect_that!(unowned, le(1), "lost {after} ms later");
     }
 }
+
+/// Guards against grants that end while a server is at work on requests that take long.
+#[gtest]
+fn grants_last_longer_for_servers_whose_work_takes_long() {
+    let servers = [server("a", ServerState::Ready), server("b", ServerState::Ready)];
+    let mut harness = Harness::new(&servers);
+    expect_that!(harness.assigner.grant_duration(), eq(DEFAULT_GRANT_DURATION));
+    let mut measure = |millis: u32| {
+        let service_times = vec![(incarnation("a"), millis * 400, 400)];
+        let load = LoadReport { requests_by_key: Vec::new(), service_times };
+        harness.assigner.on_load(&load);
+        harness.assigner.grant_duration()
+    };
+    expect_that!(measure(100), eq(DEFAULT_GRANT_DURATION));
+    // Four times the mean after a renewal that may be 900 ms old.
+    expect_that!(measure(600), all!(ge(Millis(3200)), le(Millis(3300))));
+    expect_that!(measure(5000), eq(Millis(5000)));
+}
