Get the configuration by way of relays, and make fewer calls at the first start

Every daemon watched the configuration itself, so each change and each 28 s cost a call of each; at the first start each read a table that can't be there, and small machines tried for the assigner's role before the large ones had begun. With relays, a daemon that hears from the assigner doesn't watch: the assigner sends a change at once, and a daemon whose configuration isn't confirmed in time asks the store as before. At the first start nobody reads the table, and small machines wait 1.5 s before they try for the role.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -12,7 +12,7 @@
             relay::RelayDuty,
             tasks::MEMBER_REWRITE_PERIOD,
         },
-        process::Shared,
+        process::{LoadPeers, Shared},
         request::DRAIN_MARGIN,
     },
     kameo::{Actor, actor::ActorRef},
@@ -122,7 +122,9 @@
                 let overdue = now.since(seen_at).since(assigner_timeout);
                 let timed_out = overdue > Millis::ZERO && {
                     let sizes = self.state.members.get().values().map(|member| member.size);
-                    overdue > election_delay(&self.local.instance, self.local.size, sizes)
+                    let first_start = self.cx.bootstrap.first_start && self.term == 0;
+                    let local = &self.local;
+                    overdue > election_delay(&local.instance, local.size, sizes, first_start)
                 };
                 if timed_out && self.assigner_reachable {
                     self.assigner_reachable = false;
@@ -240,6 +242,12 @@
         matches!(self.role, Role::Assigner(_)) || !self.assigner_reachable
     }
 
+    /// Returns whether the fleet has relays and this daemon hears from the assigner.
+    pub(super) fn is_relayed(&self) -> bool {
+        !self.confirms_config_itself()
+            && matches!(&*self.cx.load_peers(), LoadPeers::Relayed { .. })
+    }
+
     pub(super) fn on_input(&mut self, control: &ActorRef<Control>, input: Input) {
         let now = self.now();
         self.check_era();
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -6,6 +6,7 @@
         version::{View, ViewParts},
     },
     bytes::Bytes,
+    oriolehoist_fleet::MAX_DIRECT,
     oriolehoist_keyspace::{KeyRoutes, RoutedRange, ServerIncarnation},
     oriolehoist_log::{Event, report},
     oriolehoist_port::{Configuration, KeyRange, RegisteredServer, Revision, ServerState},
@@ -95,7 +96,10 @@
                 // change at the same time. If it was noticed late, they may have missed it as well.
                 let noticed_late =
                     self.config_version > 0 && cx.config_age() > CONFIG_NOTICED_LATE_AFTER;
-                let delay = if noticed_late { Millis::ZERO } else { CONFIG_PUSH_DELAY };
+                // By way of relays nobody else watches it.
+                let is_relayed = self.members.get().len() > MAX_DIRECT;
+                let immediate = noticed_late || is_relayed;
+                let delay = if immediate { Millis::ZERO } else { CONFIG_PUSH_DELAY };
                 self.config_push_at = cx.clock.now() + delay;
                 self.config_version = version;
                 true
--- a/crates/oriolehoist_edge/src/control/handlers.rs
+++ b/crates/oriolehoist_edge/src/control/handlers.rs
@@ -43,6 +43,8 @@
     pub(crate) has_config: bool,
     /// Whether only this daemon's own watch confirms its configuration.
     pub(crate) confirms_config_itself: bool,
+    /// Whether the configuration comes by way of relays, so that there is no watch of it.
+    pub(crate) config_is_relayed: bool,
 }
 
 impl Message<Input> for Control {
@@ -102,6 +104,7 @@
             reads_members: matches!(self.role, Role::Assigner(_)),
             has_config: self.state.config.is_some(),
             confirms_config_itself: self.confirms_config_itself(),
+            config_is_relayed: self.state.config.is_some() && self.is_relayed(),
         })
     }
 }
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -21,7 +21,7 @@
     },
     oriolehoist_time::Millis,
     std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration},
-    tokio::time::{MissedTickBehavior, interval, sleep},
+    tokio::time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 /// The time between two ticks.
@@ -32,6 +32,8 @@
 /// The maximum duration of a configuration watch for daemons that the assigner tells whether their
 /// configuration is current.
 const LONG_CONFIG_WATCH_TIMEOUT: Millis = Millis(28_000);
+/// How often a daemon that gets the configuration by way of relays checks that it still does.
+const RELAYED_CONFIG_INTERVAL: Duration = Duration::from_millis(250);
 /// The duration of a watch for changes that were already made.
 const CATCH_UP_TIMEOUT: Millis = Millis(1);
 /// The maximum duration of a watch of the members.
@@ -115,6 +117,15 @@
         let mut is_stale = false;
         loop {
             let plan = self.store_read_plan().await;
+            if !is_stale && plan.is_some_and(|plan| plan.config_is_relayed) {
+                self.send_input(Input::ConfigWatched(false)).await;
+                is_stale = timeout(RELAYED_CONFIG_INTERVAL, self.cx.config_stale()).await.is_ok();
+                if is_stale {
+                    let age = self.cx.config_age();
+                    report(Event::SettingsStale, format_args!("confirmed_ms={}", age.0));
+                }
+                continue;
+            }
             let wait = match plan {
                 _ if is_stale => CATCH_UP_TIMEOUT,
                 Some(plan) if !plan.confirms_config_itself => LONG_CONFIG_WATCH_TIMEOUT,
@@ -337,6 +348,9 @@
     /// Reads the stored table once. Until there is contact with an assigner, it gives the most
     /// likely owner of each key, even after all daemons have failed.
     async fn load_stored_table(self) {
+        if self.cx.bootstrap.first_start {
+            return;
+        }
         for _ in 0..TABLE_READ_ATTEMPTS {
             match self.store.call(StoreRequest::Get(TABLE_KEY.into())).await {
                 Ok(StoreResponse::Item { item, .. }) => {
--- a/crates/oriolehoist_fleet/src/election.rs
+++ b/crates/oriolehoist_fleet/src/election.rs
@@ -8,8 +8,13 @@
 /// While the others are not known, daemons with less than this leave the role to them first.
 const SMALL_MILLICORES: u32 = 150;
 
+/// How much longer daemons with less than that wait when the whole deployment starts for the first
+/// time. Callers come some seconds later.
+const FIRST_START_DELAY: Millis = Millis(1500);
+
 /// Returns how long a daemon waits before it tries to become the assigner, after it has noticed that
-/// there is none. `others` are the sizes of the known daemons.
+/// there is none. `others` are the sizes of the known daemons, and `first_start` is whether the whole
+/// deployment starts for the first time.
 ///
 /// The assigner renews the grants of all servers, which takes a large part of a small machine. So
 /// daemons that are smaller than the largest one known try only after all ranks of that.
@@ -17,12 +22,16 @@
     instance: &str,
     size: InstanceSize,
     others: impl Iterator<Item = InstanceSize>,
+    first_start: bool,
 ) -> Millis {
     let rank = instance.bytes().map(u32::from).sum::<u32>() % RANKS;
-    let largest = others.max();
-    let defers = match largest {
-        Some(largest) => largest.millicores > size.millicores,
-        None => (1..SMALL_MILLICORES).contains(&size.millicores),
+    let deference = match others.max() {
+        Some(largest) if largest.millicores > size.millicores => STAGGER * u64::from(RANKS),
+        None if (1..SMALL_MILLICORES).contains(&size.millicores) && first_start => {
+            FIRST_START_DELAY
+        }
+        None if (1..SMALL_MILLICORES).contains(&size.millicores) => STAGGER * u64::from(RANKS),
+        _ => Millis::ZERO,
     };
-    STAGGER * u64::from(rank + if defers { RANKS } else { 0 })
+    STAGGER * u64::from(rank) + deference
 }
--- a/crates/oriolehoist_fleet/tests/fleet.rs
+++ b/crates/oriolehoist_fleet/tests/fleet.rs
@@ -97,7 +97,7 @@
 fn a_large_daemon_tries_to_become_the_assigner_before_all_small_ones() {
     let delays = |size: InstanceSize, others: &[InstanceSize]| -> Vec<Millis> {
         let names = (0..64).map(|index| format!("edge-north-{index}"));
-        names.map(|name| election_delay(&name, size, others.iter().copied())).collect()
+        names.map(|name| election_delay(&name, size, others.iter().copied(), false)).collect()
     };
     let known = [SMALL, LARGE];
     let latest_large = delays(LARGE, &known).into_iter().max();
