Let congested servers give their hottest keys to the least utilized one

The hottest key of a server at 90 % of its capacity or more now goes to the server that it would load least, and a congested server that can give nothing is passed over.

--- a/crates/oriolehoist_keyspace/src/plan.rs
+++ b/crates/oriolehoist_keyspace/src/plan.rs
@@ -155,8 +155,11 @@
             loads = self.server_loads(&usable);
         }
         let max_segments = max_segments(loads.len());
+        // Congested servers that can give nothing.
+        let mut stuck: Vec<ServerIndex> = Vec::new();
         for _ in 0..max_moves {
-            let (Some(most), Some(least)) = (busiest(&loads), least_busy(&loads)) else { break };
+            let most = busiest(&loads, &stuck);
+            let (Some(most), Some(least)) = (most, least_busy(&loads)) else { break };
             let (from, to) = (loads[most], loads[least]);
             // Keys of this server could only be granted again after its unanswered grants have
             // expired.
@@ -169,10 +172,18 @@
             // brings `to` up to it.
             let excess = (from.utilization() - mean) * from.capacity;
             let headroom = (mean - to.utilization()) * to.capacity;
-            let run = self
-                .hottest_run_of(from.server, excess.min(headroom))
-                .or_else(|| self.hottest_key_of(&from, &to));
-            let Some(run) = run else { break };
+            let run = self.hottest_run_of(from.server, excess.min(headroom));
+            let planned = run.map(|run| (run, least));
+            let planned = planned.or_else(|| self.hottest_key_of(&from, &loads));
+            let (run, least) = match planned {
+                Some(planned) => planned,
+                None if from.utilization() >= CONGESTED_UTILIZATION => {
+                    stuck.push(from.server);
+                    continue;
+                }
+                None => break,
+            };
+            let to = loads[least];
             let part = self.split_off(run.index, run.range);
             let fence = *fence.get_or_insert_with(|| fences.issue());
             self.segments[part].reassign(to.server, version, fence);
@@ -324,12 +335,12 @@
         .max_by(|a, b| a.rate.total_cmp(&b.rate))
     }
 
-    /// Returns the hottest key of a congested server, if moving it leaves both servers less utilized
-    /// than that one is.
+    /// Returns the hottest key of a congested server, and the index of the load of the server that
+    /// would be least utilized with it, if that leaves both less utilized than the one is.
     ///
     /// With many servers, the mean load of one is less than that of a single hot key. Several of them
     /// on one server then fit no other one's headroom, though each alone has the capacity.
-    fn hottest_key_of(&self, from: &Load, to: &Load) -> Option<KeyRun> {
+    fn hottest_key_of(&self, from: &Load, loads: &[Load]) -> Option<(KeyRun, usize)> {
         if from.utilization() < CONGESTED_UTILIZATION {
             return None;
         }
@@ -341,8 +352,11 @@
             rates.map(move |(key, rate)| (index, key, rate))
         });
         let (index, key, rate) = keys.max_by(|a, b| a.2.total_cmp(&b.2))?;
-        let improves = (to.rate + rate) / to.capacity < from.utilization() * MAX_MOVED_UTILIZATION;
-        improves.then_some(KeyRun { index, range: KeyRange { first: key, last: key }, rate })
+        let with_key = |to: &usize| (loads[*to].rate + rate) / loads[*to].capacity;
+        let to = (0..loads.len()).min_by(|a, b| with_key(a).total_cmp(&with_key(b)))?;
+        let improves = with_key(&to) < from.utilization() * MAX_MOVED_UTILIZATION;
+        let range = KeyRange { first: key, last: key };
+        improves.then_some((KeyRun { index, range, rate }, to))
     }
 
     /// Splits `range` off a segment into a segment of its own. Returns the index of that segment.
@@ -411,8 +425,10 @@
     MAX_SEGMENTS.max(servers * MAX_SEGMENTS_PER_SERVER).min(MAX_STORED_SEGMENTS)
 }
 
-fn busiest(loads: &[Load]) -> Option<usize> {
-    (0..loads.len()).max_by(|a, b| loads[*a].utilization().total_cmp(&loads[*b].utilization()))
+/// Returns the load with the highest utilization, except those of the servers in `stuck`.
+fn busiest(loads: &[Load], stuck: &[ServerIndex]) -> Option<usize> {
+    let free = (0..loads.len()).filter(|index| !stuck.contains(&loads[*index].server));
+    free.max_by(|a, b| loads[*a].utilization().total_cmp(&loads[*b].utilization()))
 }
 
 fn least_busy(loads: &[Load]) -> Option<usize> {
