Keep daemons that respond although the store has lost their entries

The assigner now keeps a daemon without an entry as long as it responds, to itself or to a relay, and a daemon doubles the delay between its tries to write its entry, up to 3.2 s.

Test: one of four daemons is refused by the store and its entry is gone.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -298,11 +298,14 @@
                 }
             }
             Input::Members(members) => {
-                let known = std::mem::replace(&mut self.registered_members, members);
+                let mut known = std::mem::replace(&mut self.registered_members, members);
                 let era = self.cx.observed_store_era();
-                if era.is_some_and(|era| now.since(era.since) < MEMBER_REWRITE_PERIOD) {
-                    self.keep_members(known);
-                }
+                let is_restored =
+                    era.is_some_and(|era| now.since(era.since) < MEMBER_REWRITE_PERIOD);
+                // The store may have ended the lease of a daemon that it refuses to serve. That one
+                // depends on the assigner the more.
+                known.retain(|member| is_restored || self.fanout.responds(now, member));
+                self.keep_members(known);
                 self.update_members();
             }
             Input::ElectionEnded { outcome, candidacy } => {
--- a/crates/oriolehoist_edge/src/control/fanout.rs
+++ b/crates/oriolehoist_edge/src/control/fanout.rs
@@ -24,6 +24,8 @@
 const MAX_SYNCS_PER_SECOND: u64 = 100;
 /// The minimum time between two messages to a daemon that does not respond, if there are relays.
 const UNRESPONSIVE_INTERVAL: Millis = Millis(1000);
+/// How long after its last response a daemon without an entry in the store counts as running.
+const RESPONDING_PERIOD: Millis = Millis(3000);
 /// The maximum rate of messages to daemons that don't respond, if there are relays.
 const MAX_UNRESPONSIVE_SYNCS_PER_SECOND: u64 = 20;
 /// The maximum number of large sync messages in flight. Together they have to pass the link of a
@@ -91,6 +93,15 @@
         failing.map(|(instance, _)| instance.clone()).collect()
     }
 
+    /// Returns whether a daemon has responded lately, to this one or to its relay.
+    pub(super) fn responds(&self, now: Millis, member: &Member) -> bool {
+        self.peers.get(&member.instance).is_some_and(|peer| {
+            peer.incarnation == member.incarnation
+                && peer.responds
+                && now.since(peer.responded_at) < RESPONDING_PERIOD
+        })
+    }
+
     /// Forgets the peers that are not among `instances`.
     pub(super) fn retain(&mut self, instances: &[SmolStr]) {
         self.peers.retain(|instance, _| instances.contains(instance));
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -56,6 +56,9 @@
 /// The delay before a daemon writes its entry again because the store may have lost it, in
 /// milliseconds. It is randomized because all daemons do so.
 const MEMBER_REWRITE_DELAY_MS: Range<u64> = 0..1000;
+/// The maximum delay before a daemon tries again to write its entry. Each try is a call to the store,
+/// also if it is refused, and the assigner keeps daemons that respond.
+const MAX_MEMBER_RETRY_DELAY: Duration = Duration::from_millis(3200);
 /// How long after a return from an older copy the store may lack the entries of members.
 pub(super) const MEMBER_REWRITE_PERIOD: Millis = Millis(3000);
 /// How many times a starting daemon tries to read the stored table.
@@ -136,11 +139,13 @@
                 Some(after) => StoreRequest::Watch { prefix: key.into(), after, wait },
             };
             let waits = after.is_some() && !is_stale;
+            // Before the first one there is nothing that can be stale.
+            let has_config = plan.is_some_and(|plan| plan.has_config);
             self.send_input(Input::ConfigWatched(waits)).await;
             let connection = if is_stale { ConnectionChoice::New } else { ConnectionChoice::Any };
             let (response, call) = tokio::select! {
                 result = self.store.traced_call(request, connection) => result,
-                () = self.cx.config_stale(), if waits => {
+                () = self.cx.config_stale(), if waits && has_config => {
                     let age = self.cx.config_age();
                     report(Event::SettingsStale, format_args!("confirmed_ms={}", age.0));
                     is_stale = true;
@@ -154,6 +159,8 @@
                     let source = ConfigSource::Store(call);
                     self.send_input(Input::Config { bytes: item.value, source }).await;
                 }
+                // The operators have not written one yet.
+                Ok(StoreResponse::Item { item: None, revision }) => after = Some(revision),
                 Ok(StoreResponse::Changes { changes, revision }) => {
                     after = after.max(Some(revision));
                     // A watch that has waited for its whole duration has read the store after that.
@@ -306,11 +313,15 @@
         let key = format!("{MEMBERS_PREFIX}{}", local.instance);
         let Ok(value) = serde_json::to_vec(&local) else { return };
         let mut lease: Option<(LeaseId, StoreEra)> = None;
+        let mut retry_delay = RETRY_DELAY;
         loop {
             let Some((id, era)) = lease else {
                 lease = self.create_member_entry(&key, &value).await;
                 if lease.is_none() {
-                    sleep(RETRY_DELAY).await;
+                    sleep(retry_delay.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+                    retry_delay = (retry_delay * 2).min(MAX_MEMBER_RETRY_DELAY);
+                } else {
+                    retry_delay = RETRY_DELAY;
                 }
                 continue;
             };
--- a/tests/users_platform/relays.rs
+++ b/tests/users_platform/relays.rs
@@ -90,6 +90,37 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_the_store_refuses_and_forgets_still_hears_from_the_assigner()
+-> eyre::Result<()> {
+    let mut deployment = deployment(4, 2, 1).await?;
+    let assigner = assigner_index(&deployment);
+    let refused = (assigner + 1) % 4;
+    // For three seconds after an assigner learns of the store's era, entries may be missing.
+    sleep(SECOND * 3).await;
+    let load = Load::start(caller_addresses(&deployment), "refused")?;
+    let callers = [deployment.daemons[refused].peer_address.ip()].into();
+    let faults = StoreFaults { refused_callers: callers, ..StoreFaults::default() };
+    deployment.store.set_faults(faults);
+    deployment.store.remove(&format!("oriolehoist/members/edge-{refused}"));
+    sleep(SECOND).await;
+    let before = deployment.store.request_count();
+    sleep(SECOND * 4).await;
+    let calls = deployment.store.request_count() - before;
+    println!("{calls} calls in 4 s");
+    // Five a second at rest, and few by the daemon that is refused.
+    expect_that!(calls, le(28));
+    expect_that!(deployment.daemons[refused].log(), not(contains_substring("heard=false")));
+    let version = format!("{:08x}", deployment.publish_configuration());
+    sleep(CONFIG_BOUND).await;
+    expect_that!(version_in_force(&deployment.daemons[refused]).await, eq(&version));
+    deployment.store.set_faults(StoreFaults::default());
+    finish_and_check(&deployment, load, 0.99).await;
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_messages_on_loads_are_ignored() -> eyre::Result<()> {
