Share the limits that servers name by way of relays

Relays now pass on totals: the requests of a group, the number of its daemons and the server's newest statement. A daemon starts without a token if the server takes fewer requests in five seconds than there are daemons, and of the requests that reach the daemons before they know of each other as many are admitted as there are tokens, not just one. The sums keep daemons that went silent for a minute, so they don't fall.

--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -44,6 +44,6 @@
         InFlightOutcome, InFlightRequest, LoadEstimator, MeanServiceTime, ServiceTimeTotal,
     },
     queue::{FairQueue, QueuedRequest, Ticket},
-    rate_limit::{RateReport, RequestCounts, SharedRateLimit},
+    rate_limit::{GroupReport, GroupReports, RateReport, RequestCounts, SharedRateLimit},
     retry::{RetryBudget, RetryBudgets},
 };
--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -23,9 +23,15 @@
 const REPORT_TTL: Millis = Millis(700);
 /// How long the end of a limit is reported to the other daemons.
 const END_REPORT_DURATION: Millis = Millis(2000);
-/// The time until a daemon knows of a request that another one has sent: one interval between
-/// reports, and their way.
-const REPORT_DELAY_SECONDS: f64 = 0.06;
+/// The time until a daemon knows of a request that another one has sent, if they report to each other:
+/// one interval between reports, and their way.
+const REPORT_DELAY: Millis = Millis(60);
+/// The first request after a server named a limit may be sent at once if the server takes as many
+/// requests as there are daemons within this time, in seconds.
+const FIRST_REQUESTS_SECONDS: f64 = 5.0;
+/// How long the requests of a daemon that no longer reports stay in the total of its group, so that the
+/// total does not fall.
+const GROUP_RETENTION: Millis = Millis(60_000);
 /// The least part of the demand that a daemon assumes to be its own.
 const MIN_SHARE: f64 = 0.01;
 /// The time constant of the measured demand, in seconds.
@@ -55,6 +61,8 @@
     own: RequestCounts,
     /// The number of daemons that share the limit.
     daemons: usize,
+    /// The time until a daemon knows of a request that another one has sent.
+    report_delay: Millis,
     peers: HashMap<K, Peer>,
 }
 
@@ -78,11 +86,72 @@
     pub counts: RequestCounts,
 }
 
-/// A daemon that has reported.
+/// A daemon that has reported, or a group of them.
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     counts: RequestCounts,
     reported_at: Millis,
+    /// The number of daemons whose requests are counted.
+    daemons: u32,
+}
+
+/// What several daemons together tell others about a server's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GroupReport {
+    /// The newest statement of the server, and the sum of the requests.
+    pub report: RateReport,
+    /// The number of daemons that have reported lately.
+    pub daemons: u32,
+}
+
+/// The reports of daemons and groups that a relay has received about one server, by sender.
+#[derive(Clone, Debug)]
+pub struct GroupReports<K> {
+    by_sender: HashMap<K, (Millis, GroupReport)>,
+}
+
+impl<K> Default for GroupReports<K> {
+    fn default() -> GroupReports<K> {
+        GroupReports { by_sender: HashMap::new() }
+    }
+}
+
+impl<K: Eq + Hash> GroupReports<K> {
+    /// Records a report.
+    pub fn record(&mut self, now: Millis, from: K, report: GroupReport) {
+        self.by_sender.insert(from, (now, report));
+        self.by_sender.retain(|_, (at, _)| now.since(*at) < GROUP_RETENTION);
+    }
+
+    /// Returns the total of the own report and of those of the senders that `includes` accepts.
+    pub fn total(
+        &self,
+        now: Millis,
+        own: Option<RateReport>,
+        includes: impl Fn(&K) -> bool,
+    ) -> Option<GroupReport> {
+        let own = own.map(|report| GroupReport { report, daemons: 1 });
+        let others = self.by_sender.iter().filter(|(from, _)| includes(from));
+        let others = others.map(|(_, (at, group))| {
+            let elapsed = now.since(*at);
+            let report = RateReport { age: group.report.age + elapsed, ..group.report };
+            let daemons = if elapsed < REPORT_TTL { group.daemons } else { 0 };
+            GroupReport { report, daemons }
+        });
+        own.into_iter().chain(others).reduce(|total, group| {
+            let newest = match group.report.age < total.report.age {
+                true => group.report,
+                false => total.report,
+            };
+            let (a, b) = (total.report.counts, group.report.counts);
+            let counts = RequestCounts {
+                sent: a.sent.wrapping_add(b.sent),
+                asked: a.asked.wrapping_add(b.asked),
+            };
+            let daemons = total.daemons + group.daemons;
+            GroupReport { report: RateReport { counts, ..newest }, daemons }
+        })
+    }
 }
 
 impl<K> Default for SharedRateLimit<K> {
@@ -97,6 +166,7 @@
             updated_at: Millis::ZERO,
             own: RequestCounts::default(),
             daemons: 1,
+            report_delay: REPORT_DELAY,
             peers: HashMap::new(),
         }
     }
@@ -108,6 +178,11 @@
         self.daemons = daemons.max(1);
     }
 
+    /// Sets the time until a daemon knows of a request that another one has sent.
+    pub fn set_report_delay(&mut self, delay: Millis) {
+        self.report_delay = delay;
+    }
+
     /// Returns the limit, in requests per second.
     pub fn limit(&self) -> Option<f64> {
         self.limit
@@ -126,10 +201,16 @@
 
     /// Records a report of another daemon. Returns whether the limit changed.
     pub fn on_report(&mut self, now: Millis, from: K, report: RateReport) -> bool {
+        self.on_group_report(now, from, GroupReport { report, daemons: 1 })
+    }
+
+    /// Records a report of several other daemons. Returns whether the limit changed.
+    pub fn on_group_report(&mut self, now: Millis, from: K, group: GroupReport) -> bool {
+        let GroupReport { report, daemons } = group;
         let stated_at = now.since(report.age);
         let changed = stated_at > self.stated_at && self.set_limit(now, stated_at, report.limit);
         self.refill(now);
-        let peer = Peer { counts: report.counts, reported_at: now };
+        let peer = Peer { counts: report.counts, reported_at: now, daemons };
         if let Some(known) = self.peers.insert(from, peer) {
             // A daemon that was restarted counts from zero.
             let new = |now: u32, before: u32| f64::from(now.checked_sub(before).unwrap_or(now));
@@ -173,10 +254,10 @@
         self.own.asked = self.own.asked.wrapping_add(1);
         self.count_demand(1.0);
         self.own_demand += 1.0 / DEMAND_TIME_CONSTANT;
-        // Of the requests that would take the same token before the daemons know of each other, one
-        // is admitted on average.
-        let contenders = self.demand * REPORT_DELAY_SECONDS;
-        let is_chosen = chance * contenders < 1.0;
+        // Of the requests that would take the same tokens before the daemons know of each other, as
+        // many are admitted on average as there are tokens.
+        let contenders = self.demand * self.report_delay.0 as f64 / 1000.0;
+        let is_chosen = chance * contenders < self.tokens.max(1.0);
         if wait == Millis::ZERO && is_chosen {
             self.own.sent = self.own.sent.wrapping_add(1);
             self.take(1.0);
@@ -192,7 +273,10 @@
             return false;
         }
         if self.limit.is_none() {
-            (self.tokens, self.promised, self.updated_at) = (1.0, 0.0, now);
+            // Many daemons that learn of the limit would each send a request.
+            let are_few = self.daemons as f64 <= limit.unwrap_or_default() * FIRST_REQUESTS_SECONDS;
+            let tokens = if are_few { 1.0 } else { 0.0 };
+            (self.tokens, self.promised, self.updated_at) = (tokens, 0.0, now);
         }
         self.limit = limit;
         true
@@ -201,8 +285,9 @@
     /// Returns the rate that this daemon shares with those that report.
     fn rate(&self, now: Millis) -> Option<f64> {
         let limit = self.limit?.max(MIN_RATE);
-        let reporting =
-            self.peers.values().filter(|peer| now.since(peer.reported_at) < REPORT_TTL).count() + 1;
+        let fresh = self.peers.values().filter(|peer| now.since(peer.reported_at) < REPORT_TTL);
+        let reporting = fresh.map(|peer| peer.daemons as usize).sum::<usize>() + 1;
+        let reporting = reporting.min(self.daemons.max(1));
         Some(limit * reporting as f64 / self.daemons.max(reporting) as f64)
     }
 
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -23,6 +23,10 @@
 /// The fraction of a server's connections that the daemons share for requests. The rest is reserved
 /// for orders.
 const CONNECTION_FRACTION: f64 = 0.85;
+/// How long the news of a request to a server with a limit takes to reach the other daemons.
+const DIRECT_REPORT_DELAY: Millis = Millis(60);
+/// The same by way of relays: three intervals between messages.
+const RELAYED_REPORT_DELAY: Millis = Millis(350);
 /// How long after a change of the configuration the assigner sends it to the daemons that have not
 /// noticed it themselves.
 const CONFIG_PUSH_DELAY: Millis = Millis(500);
@@ -281,6 +285,10 @@
         let backends =
             self.backends.update(cx.backend_context(), &self.servers, &self.draining_since);
         let daemon_count = self.members.get().len();
+        let report_delay = match daemon_count > MAX_DIRECT + 1 {
+            true => RELAYED_REPORT_DELAY,
+            false => DIRECT_REPORT_DELAY,
+        };
         let mut services: HashMap<SmolStr, Vec<_>> = HashMap::new();
         for entry in &self.servers {
             let Some(backend) = backends.get(&entry.id) else { continue };
@@ -289,7 +297,10 @@
                     / daemon_count.max(1) as f64;
                 backend.set_connection_limit(limit as u32);
             }
-            backend.availability().rate_limit.set_daemons(daemon_count);
+            let mut availability = backend.availability();
+            availability.rate_limit.set_daemons(daemon_count);
+            availability.rate_limit.set_report_delay(report_delay);
+            drop(availability);
             if entry.state == ServerState::Ready {
                 services.entry(entry.service.clone()).or_default().push(Arc::clone(backend));
             }
--- a/crates/oriolehoist_edge/src/control/load_gossip.rs
+++ b/crates/oriolehoist_edge/src/control/load_gossip.rs
@@ -16,7 +16,7 @@
         request::observe_report,
         version::View,
     },
-    oriolehoist_admission::{RateReport, RequestCounts},
+    oriolehoist_admission::{GroupReport, GroupReports, RateReport, RequestCounts},
     oriolehoist_fleet::{LoadExchange, LoadNews, MAX_DIRECT, Source},
     oriolehoist_log::{Event, report},
     oriolehoist_time::Millis,
@@ -39,8 +39,6 @@
 const MAX_NEWS_PER_DATAGRAM: usize = 100;
 /// The maximum number of senders whose malformed messages are logged.
 const MAX_REPORTED_SENDERS: usize = 64;
-/// The maximum rate of messages on limits, over all peers.
-const MAX_LIMIT_MESSAGES_PER_SECOND: u64 = 350;
 /// How long the counts of a peer are used, so that a few messages may be lost.
 const PEER_LOAD_TTL: Millis = Millis(200);
 /// The maximum size of a message, in bytes.
@@ -76,6 +74,25 @@
 /// The format of [`RelayedLoads`].
 const RELAYED_FORMAT: &str = "loads-1";
 
+/// What a daemon of a large fleet tells others of servers that limit the rate of their requests.
+#[derive(Debug, Serialize, Deserialize)]
+struct RelayedLimits {
+    /// Tells the message from others.
+    format: SmolStr,
+    limits: Vec<(u32, GroupReport)>,
+}
+
+/// The format of [`RelayedLimits`].
+const RELAYED_LIMITS_FORMAT: &str = "limits-1";
+
+/// What a relay has received, or any daemon of a large fleet.
+#[derive(Default)]
+struct Received {
+    loads: LoadExchange,
+    /// The reports on limits, by server.
+    limits: HashMap<u32, GroupReports<IpAddr>>,
+}
+
 impl LoadMessage {
     fn is_empty(&self) -> bool {
         self.in_flight.is_empty() && self.limits.is_empty()
@@ -93,7 +110,7 @@
             return;
         }
     };
-    let exchange: Arc<Mutex<LoadExchange>> = Arc::default();
+    let exchange: Arc<Mutex<Received>> = Arc::default();
     tokio::spawn(send(Arc::clone(&cx), Arc::clone(&socket), address.port()));
     let port = address.port();
     tokio::spawn(send_relayed(Arc::clone(&cx), Arc::clone(&socket), port, Arc::clone(&exchange)));
@@ -106,7 +123,7 @@
     cx: Arc<Shared>,
     socket: Arc<UdpSocket>,
     port: u16,
-    exchange: Arc<Mutex<LoadExchange>>,
+    exchange: Arc<Mutex<Received>>,
 ) {
     let mut sent_at = cx.clock.now();
     // The servers whose last load was notable, so that the end of that is told as well.
@@ -118,7 +135,8 @@
         let Some(view) = cx.view.load() else { continue };
         let now = cx.clock.now();
         let (upwards, downwards) = {
-            let mut exchange = lock(&exchange);
+            let mut received = lock(&exchange);
+            let exchange = &mut received.loads;
             exchange.expire(now);
             for (server, backend) in &view.backends_by_short_id {
                 let (report, is_notable) = {
@@ -155,13 +173,73 @@
                 }
             }
         }
+        let in_group = |from: &IpAddr| down.iter().any(|child| child.ip() == *from);
+        for peer in up {
+            send_limits(&socket, *peer, port, total_limits(now, &view, &exchange, in_group)).await;
+        }
+        for child in down {
+            let others = |from: &IpAddr| *from != child.ip();
+            send_limits(&socket, *child, port, total_limits(now, &view, &exchange, others)).await;
+        }
     }
 }
 
+/// Returns what to tell a daemon of servers with a limit: the total of this daemon's reports and of those
+/// of the senders that `includes` accepts.
+fn total_limits(
+    now: Millis,
+    view: &View,
+    exchange: &Mutex<Received>,
+    includes: impl Fn(&IpAddr) -> bool,
+) -> Vec<(u32, GroupReport)> {
+    let received = lock(exchange);
+    let own = view.backends_by_short_id.iter().filter_map(|(server, backend)| {
+        Some((*server, backend.availability().rate_limit.report(now)?))
+    });
+    let none = GroupReports::default();
+    let totals = own.filter_map(|(server, report)| {
+        let reports = received.limits.get(&server).unwrap_or(&none);
+        Some((server, reports.total(now, Some(report), &includes)?))
+    });
+    totals.take(MAX_LIMITS_PER_DATAGRAM).collect()
+}
+
+async fn send_limits(
+    socket: &UdpSocket,
+    to: SocketAddr,
+    port: u16,
+    limits: Vec<(u32, GroupReport)>,
+) {
+    if limits.is_empty() {
+        return;
+    }
+    let message = RelayedLimits { format: RELAYED_LIMITS_FORMAT.into(), limits };
+    if let Ok(bytes) = rmp_serde::to_vec(&message) {
+        // A lost message is made up for by the next one.
+        let _ = socket.send_to(&bytes, SocketAddr::new(to.ip(), port)).await;
+    }
+}
+
+fn receive_limits(
+    cx: &Shared,
+    view: &View,
+    exchange: &Mutex<Received>,
+    from: SocketAddr,
+    message: RelayedLimits,
+) {
+    let now = cx.clock.now();
+    for (server, group) in message.limits {
+        let Some(backend) = view.backends_by_short_id.get(&server) else { continue };
+        lock(exchange).limits.entry(server).or_default().record(now, from.ip(), group);
+        observe_report(cx, backend, from, group);
+    }
+    lock(exchange).limits.retain(|server, _| view.backends_by_short_id.contains_key(server));
+}
+
 fn receive_relayed(
     cx: &Shared,
     view: &View,
-    exchange: &Mutex<LoadExchange>,
+    exchange: &Mutex<Received>,
     from: SocketAddr,
     message: RelayedLoads,
 ) {
@@ -172,9 +250,9 @@
         }
         _ => Source::Above,
     };
-    let mut exchange = lock(exchange);
+    let mut received = lock(exchange);
     for news in message.news {
-        if exchange.learn(now, source, news)
+        if received.loads.learn(now, source, news)
             && let Some(backend) = view.backends_by_short_id.get(&news.server)
         {
             let reported_at = now.since(Millis(u64::from(news.age)));
@@ -185,21 +263,14 @@
 
 async fn send(cx: Arc<Shared>, socket: Arc<UdpSocket>, port: u16) {
     let mut sent_last_time = false;
-    let mut last_sent_at = Millis::ZERO;
     let mut reported: BTreeMap<u32, (Millis, RequestCounts)> = BTreeMap::new();
     loop {
         sleep(GOSSIP_INTERVAL).await;
         let Some(view) = cx.view.load() else { continue };
         let now = cx.clock.now();
-        let is_large = view.peer_addresses.len() > MAX_DIRECT;
-        if is_large {
-            let peers = view.peer_addresses.len() as u64;
-            let interval = Millis(peers * 1000 / MAX_LIMIT_MESSAGES_PER_SECOND);
-            if now.since(last_sent_at) < interval {
-                continue;
-            }
+        if view.peer_addresses.len() > MAX_DIRECT {
+            continue;
         }
-        last_sent_at = now;
         let counts = view.backends.values().filter_map(|backend| {
             Some((backend.short_id, backend.load_estimator().in_flight_if_busy(now)?))
         });
@@ -211,10 +282,7 @@
             is_due.then_some((backend.short_id, report))
         });
         let message = LoadMessage {
-            in_flight: match is_large {
-                true => BTreeMap::new(),
-                false => counts.take(MAX_SERVERS_PER_DATAGRAM).collect(),
-            },
+            in_flight: counts.take(MAX_SERVERS_PER_DATAGRAM).collect(),
             limits: limits.take(MAX_LIMITS_PER_DATAGRAM).collect(),
         };
         reported.retain(|server, _| view.backends_by_short_id.contains_key(server));
@@ -238,7 +306,7 @@
     reported.len() < MAX_REPORTED_SENDERS && reported.insert(sender)
 }
 
-async fn receive(cx: Arc<Shared>, socket: &UdpSocket, exchange: &Mutex<LoadExchange>) {
+async fn receive(cx: Arc<Shared>, socket: &UdpSocket, exchange: &Mutex<Received>) {
     let mut peers: HashMap<SocketAddr, (Millis, LoadMessage)> = HashMap::new();
     let mut buf = [0; MAX_DATAGRAM_BYTES];
     let mut reported_strangers: HashSet<IpAddr> = HashSet::new();
@@ -256,6 +324,12 @@
             continue;
         }
         let message = &buf[..length];
+        if let Ok(limits) = rmp_serde::from_slice::<RelayedLimits>(message)
+            && limits.format == RELAYED_LIMITS_FORMAT
+        {
+            receive_limits(&cx, &view, exchange, from, limits);
+            continue;
+        }
         let mut message = match rmp_serde::from_slice::<RelayedLoads>(message) {
             Ok(message) if message.format == RELAYED_FORMAT => {
                 receive_relayed(&cx, &view, exchange, from, message);
@@ -278,7 +352,7 @@
         peers.retain(|_, (received_at, _)| now.since(*received_at) < PEER_LOAD_TTL);
         for (short_id, rate) in limits {
             if let Some(backend) = view.backends_by_short_id.get(&short_id) {
-                observe_report(&cx, backend, from, rate);
+                observe_report(&cx, backend, from, GroupReport { report: rate, daemons: 1 });
             }
         }
         let mentioned = previous
--- a/crates/oriolehoist_edge/src/request/statements.rs
+++ b/crates/oriolehoist_edge/src/request/statements.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{connection::Backend, control::OrDash, process::Shared},
-    oriolehoist_admission::RateReport,
+    oriolehoist_admission::GroupReport,
     oriolehoist_log::{Event, report},
     oriolehoist_port::{DecodeError, HttpResponse},
     oriolehoist_time::Millis,
@@ -73,9 +73,9 @@
 }
 
 /// Records what another daemon reports about a server's limit.
-pub(crate) fn observe_report(cx: &Shared, backend: &Backend, from: SocketAddr, rate: RateReport) {
-    if backend.availability().rate_limit.on_report(cx.clock.now(), from, rate) {
-        log_limit(cx, backend, rate.limit, &from.ip().to_string());
+pub(crate) fn observe_report(cx: &Shared, backend: &Backend, from: SocketAddr, group: GroupReport) {
+    if backend.availability().rate_limit.on_group_report(cx.clock.now(), from, group) {
+        log_limit(cx, backend, group.report.limit, &from.ip().to_string());
     }
 }
 
--- a/tests/users_platform/rate_limits.rs
+++ b/tests/users_platform/rate_limits.rs
@@ -141,6 +141,18 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_gets_no_more_requests_than_it_takes_from_a_fleet_with_relays() -> eyre::Result<()>
+{
+    let deployment = deployment(24, 2, 2).await?;
+    let outcome = run_with_limits(&deployment, &[0, 2]).await?;
+    expect_that!(outcome.most, each(le(&allowed())));
+    expect_that!(share_of("/p/a", &outcome.responses), ge(0.99));
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_only_server_of_a_service_gets_what_it_takes_until_its_limit_ends() -> eyre::Result<()>
