--- a/crates/oriolehoist_edge/src/control/handlers.rs
+++ b/crates/oriolehoist_edge/src/control/handlers.rs
@@ -41,6 +41,8 @@
     pub(crate) reads_members: bool,
     /// Whether a configuration is known.
     pub(crate) has_config: bool,
+    /// Whether it is known who owns the keys.
+    pub(crate) has_routes: bool,
     /// Whether only this daemon's own watch confirms its configuration.
     pub(crate) confirms_config_itself: bool,
     /// Whether the configuration comes by way of relays, so that there is no watch of it.
@@ -103,6 +105,7 @@
             reads_servers: self.reads_servers(),
             reads_members: matches!(self.role, Role::Assigner(_)),
             has_config: self.state.config.is_some(),
+            has_routes: !self.state.key_routes().is_empty(),
             confirms_config_itself: self.confirms_config_itself(),
             config_is_relayed: self.state.config.is_some() && self.is_relayed(),
         })
--- a/crates/oriolehoist_edge/src/control/mod.rs
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod reclaim;
 mod relay;
+mod relayed_loads;
 mod servers;
 mod store;
 mod table;
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -15,6 +15,7 @@
         process::Shared,
     },
     kameo::actor::ActorRef,
+    oriolehoist_fleet::table_read_delay,
     oriolehoist_log::{Event, report},
     oriolehoist_port::{
         Change, Item, LeaseId, Revision, StoreEra, StoreRequest, StoreResponse, Transaction,
@@ -362,16 +363,19 @@
         if self.cx.bootstrap.first_start {
             return;
         }
-        for _ in 0..TABLE_READ_ATTEMPTS {
-            match self.store.call(StoreRequest::Get(TABLE_KEY.into())).await {
-                Ok(StoreResponse::Item { item, .. }) => {
-                    if let Some(item) = item {
-                        self.send_input(Input::StoredTable(item.value)).await;
-                    }
-                    return;
-                }
-                _ => sleep(RETRY_DELAY).await,
+        for attempts in 0..TABLE_READ_ATTEMPTS {
+            let size = self.cx.bootstrap.size;
+            sleep(Duration::from(table_read_delay(size, attempts, fastrand::f64()))).await;
+            // The assigner may have sent the routes by now.
+            if self.store_read_plan().await.is_some_and(|plan| plan.has_routes) {
+                return;
             }
+            let response = self.store.call(StoreRequest::Get(TABLE_KEY.into())).await;
+            let Ok(StoreResponse::Item { item, .. }) = response else { continue };
+            if let Some(item) = item {
+                self.send_input(Input::StoredTable(item.value)).await;
+            }
+            return;
         }
     }
 
--- a/crates/oriolehoist_fleet/src/election.rs
+++ b/crates/oriolehoist_fleet/src/election.rs
@@ -12,6 +12,11 @@
 /// time. Callers come some seconds later.
 const FIRST_START_DELAY: Millis = Millis(1500);
 
+/// Returns whether a machine is known to be so small that there are probably larger ones.
+pub(crate) fn is_small(size: InstanceSize) -> bool {
+    (1..SMALL_MILLICORES).contains(&size.millicores)
+}
+
 /// Returns how long a daemon waits before it tries to become the assigner, after it has noticed that
 /// there is none. `others` are the sizes of the known daemons, and `first_start` is whether the whole
 /// deployment starts for the first time.
@@ -27,10 +32,8 @@
     let rank = instance.bytes().map(u32::from).sum::<u32>() % RANKS;
     let deference = match others.max() {
         Some(largest) if largest.millicores > size.millicores => STAGGER * u64::from(RANKS),
-        None if (1..SMALL_MILLICORES).contains(&size.millicores) && first_start => {
-            FIRST_START_DELAY
-        }
-        None if (1..SMALL_MILLICORES).contains(&size.millicores) => STAGGER * u64::from(RANKS),
+        None if is_small(size) && first_start => FIRST_START_DELAY,
+        None if is_small(size) => STAGGER * u64::from(RANKS),
         _ => Millis::ZERO,
     };
     STAGGER * u64::from(rank) + deference
--- a/crates/oriolehoist_fleet/src/lib.rs
+++ b/crates/oriolehoist_fleet/src/lib.rs
@@ -16,9 +16,11 @@
 mod election;
 mod load_exchange;
 mod relays;
+mod startup;
 
 pub use {
     election::election_delay,
     load_exchange::{LoadExchange, LoadNews, Source},
     relays::{Candidate, Group, MAX_DIRECT, Relays},
+    startup::table_read_delay,
 };
--- a/crates/oriolehoist_fleet/tests/fleet.rs
+++ b/crates/oriolehoist_fleet/tests/fleet.rs
@@ -3,7 +3,7 @@
 use {
     fastrand::Rng,
     googletest::prelude::*,
-    oriolehoist_fleet::{Candidate, MAX_DIRECT, Relays, election_delay},
+    oriolehoist_fleet::{Candidate, MAX_DIRECT, Relays, election_delay, table_read_delay},
     oriolehoist_port::InstanceSize,
     oriolehoist_time::Millis,
 };
@@ -108,3 +108,45 @@
     // Among small ones alone, none waits.
     expect_that!(delays(SMALL, &[SMALL]).into_iter().max(), some(lt(Millis(500))));
 }
+
+/// 300 daemons start at once, and a read of the table that gets less than its part of the store's link
+/// fails after 600 ms. Guards against reads that keep each other from ending.
+#[gtest]
+fn daemons_that_start_at_once_all_read_the_stored_table() {
+    const TABLE_KILOBYTES: f64 = 400.0;
+    // A link of 1,000 Mbit a second.
+    const KILOBYTES_PER_MS: f64 = 125.0;
+    let mut rng = Rng::with_seed(4);
+    // When each daemon starts its next read, or what is left of the one that it started then.
+    let mut due: Vec<(u32, Millis)> = vec![(0, Millis::ZERO); 300];
+    let size = |index: usize| if index < 18 { LARGE } else { SMALL };
+    for (index, (_, at)) in due.iter_mut().enumerate() {
+        *at = table_read_delay(size(index), 0, rng.f64());
+    }
+    let mut reading: Vec<(usize, Millis, f64)> = Vec::new();
+    let mut done = [None; 300];
+    for millis in 0..10_000 {
+        let now = Millis(millis);
+        for (index, (_, at)) in due.iter().enumerate().filter(|(_, due)| due.1 == now) {
+            reading.push((index, *at, TABLE_KILOBYTES));
+        }
+        let part = KILOBYTES_PER_MS / reading.len().max(1) as f64;
+        for (index, started_at, left) in &mut reading {
+            *left -= part;
+            if *left <= 0.0 {
+                done[*index] = Some(now);
+            } else if now.since(*started_at) >= Millis(600) {
+                due[*index].0 += 1;
+                due[*index].1 = now + table_read_delay(size(*index), due[*index].0, rng.f64());
+                *left = -1.0;
+            }
+        }
+        reading.retain(|(_, _, left)| *left > 0.0);
+    }
+    let last_large = done[..18].iter().max().copied().flatten();
+    let last = done.iter().max().copied().flatten();
+    println!("the large ones after {last_large:?}, all after {last:?}");
+    expect_that!(done.iter().filter(|done| done.is_none()).count(), eq(0));
+    expect_that!(last_large, some(le(Millis(600))));
+    expect_that!(last, some(le(Millis(5000))));
+}
