--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -334,7 +334,7 @@
                 writer.write(encoded)
                 await writer.drain()
                 if self.sends_extra(kind, status):
-                    owed.append((encoded, request_id))
+                    owed.append((encoded, request_id or kind))
         except (ConnectionError, OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -663,7 +663,11 @@
 
     async def exchange(self, daemon, attempt, deadline_ms, body):
         idle = self.connections.setdefault(daemon.name, [])
-        reader, writer = idle.pop() if idle else await self.connect(daemon)
+        # Connections are reused that have been idle for up to four fifths of the limit.
+        longest = 0.8 * self.site.limits["idle_timeout_ms"] / 1000
+        while idle and now() - idle[0][2] > longest:
+            idle.pop(0)[1].close()
+        reader, writer, _ = idle.pop() if idle else (*await self.connect(daemon), now())
         keep = False
         try:
             writer.write(self.encode(attempt, deadline_ms, body))
@@ -677,7 +681,7 @@
             return status, "x-response-signature" in head[1]
         finally:
             if keep:
-                idle.append((reader, writer))
+                idle.append((reader, writer, now()))
             else:
                 writer.close()
 
