--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,10 +13,10 @@
 # As on the sheet of villacres-mareas: 8 machines, 15 targets of mareas-live.
 DAEMONS, TARGETS, SECONDS = 8, 15, 90
 BOOKINGS_PER_S, QUERIES_PER_S = 155, 145
-# garble (extra late): on this share of the targets, this part of the answers at most.
-SPOILED_TARGETS, SPOILED_ANSWERS = 0.6, 0.03
-# applied_late: this part of the grants, in periods of 5.5 s.
-LATE_GRANTS, LATE_S = 0.12, 5.5
+# garble (extra late): on this share of the targets, this part of the answers at most, for 5 s.
+SPOILED_TARGETS, SPOILED_ANSWERS, SPOILED_S = 0.6, 0.03, 5.0
+# applied_late: this part of the grants, for 5.5 s. Both begin together, and come again after a pause.
+LATE_GRANTS, LATE_S, PAUSE_S = 0.12, 5.5, 2
 
 HOST = Site.HOST
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000,
@@ -52,10 +52,6 @@
                 20, random.gauss(120 if method == "POST" else 90, 35))
         await asyncio.sleep(3)
         garbles = []
-        if trouble:
-            for target in random.sample(site.targets, int(TARGETS * SPOILED_TARGETS)):
-                target.sends_extra = Garble()
-                garbles.append(target.sends_extra)
         client, tasks, end = Client(site, "c"), set(), now() + SECONDS
 
         async def load(method, path, per_s, deadline_ms, body):
@@ -70,12 +66,18 @@
 
         async def disrupt():
             while trouble and now() < end - 8:
-                await asyncio.sleep(2)
-                record.line("TROUBLE: some grants get no answer and are carried out late")
+                await asyncio.sleep(PAUSE_S)
+                record.line("TROUBLE: some answers come twice, and some grants get none and are late")
+                for target in random.sample(site.targets, int(TARGETS * SPOILED_TARGETS)):
+                    target.sends_extra = Garble()
+                    garbles.append(target.sends_extra)
                 for target in site.targets:
                     target.delays_grant = lambda: random.random() < LATE_GRANTS
-                await asyncio.sleep(LATE_S)
-                record.line("all grants are answered again")
+                await asyncio.sleep(SPOILED_S)
+                for target in site.targets:
+                    target.sends_extra = lambda kind, status: False
+                await asyncio.sleep(LATE_S - SPOILED_S)
+                record.line("all grants are answered again, and all answers come once")
                 for target in site.targets:
                     target.delays_grant = lambda: False
 
