Log responses that belong to no request in flight, and refusals with their connections

The logs could not tell whether a daemon had sent a request again after a refusal of the second attempt, or after a repeated refusal of the first: refusals that led to another attempt were not logged, and neither were skipped responses or input on idle connections.

Connections are numbered. E4023 (debug) has the connection of each refusal and how many requests it had carried; E4022 and a counter tell of responses that were skipped, and of input on idle connections. No decision has changed.

--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -1,8 +1,9 @@
 use {
     crate::{
         connection::{
-            CallError, ClientConnection, ExpectedResponse, IdlePool, ReceivedResponse, SendState,
-            backend_probe::ServerProbes, backend_warm_up::ObservedRegistration,
+            CallError, ClientConnection, ConnectionState, ExchangeProgress, ExpectedResponse,
+            IdlePool, ReceivedResponse, backend_probe::ServerProbes,
+            backend_warm_up::ObservedRegistration,
         },
         process::lock,
     },
@@ -223,14 +224,14 @@
         method: &Method,
         message: Bytes,
         expected: ExpectedResponse<'_>,
-        send_state: &mut SendState,
+        progress: &mut ExchangeProgress,
     ) -> Result<ReceivedResponse, CallError> {
         let mut connection = self.acquire().await?;
         // The server may have said so while the connection was established.
         if !self.admits_requests() {
             return Err(CallError::Unwanted);
         }
-        let result = connection.send(method, message, Some(expected), send_state).await;
+        let result = connection.send(method, message, Some(expected), progress).await;
         match &result {
             Ok(response) if response.reusable => self.release(connection, response.keep_alive_secs),
             // Closing the connection tells the server that nobody is waiting for the response any
@@ -255,18 +256,20 @@
             ClientConnection::connect(self.clock, self.source, self.address, CONNECT_TIMEOUT)
                 .await?;
         sleep(RESET_DETECTION_DELAY).await;
-        match connection.is_open_and_idle() {
-            true => Ok(connection),
-            false => Err(CallError::Connect(io::ErrorKind::ConnectionReset.into())),
+        match connection.state() {
+            ConnectionState::Idle => Ok(connection),
+            ConnectionState::Closed | ConnectionState::HasUnexpectedInput => {
+                Err(CallError::Connect(io::ErrorKind::ConnectionReset.into()))
+            }
         }
     }
 
     /// Sends a health check over a new connection, and returns the response, whatever its status.
     pub(crate) async fn probe(&self, path: &str) -> Result<HttpResponse, CallError> {
         let mut connection = self.connect().await?;
-        let mut send_state = SendState::NotSent;
+        let mut progress = ExchangeProgress::default();
         let message = self.health_check(path);
-        let received = connection.send(&Method::GET, message, None, &mut send_state).await?;
+        let received = connection.send(&Method::GET, message, None, &mut progress).await?;
         Ok(received.response)
     }
 
--- a/crates/oriolehoist_edge/src/connection/client.rs
+++ b/crates/oriolehoist_edge/src/connection/client.rs
@@ -1,5 +1,5 @@
 use {
-    crate::connection::{CallError, ClientConnection, IdlePool, SendState, SilenceTracker},
+    crate::connection::{CallError, ClientConnection, ExchangeProgress, IdlePool, SilenceTracker},
     http::{HeaderValue, header},
     oriolehoist_http1::encode_request,
     oriolehoist_log::{Event, report},
@@ -106,8 +106,8 @@
         }
         let message = encode_request(&request.method, &request.path, &headers, &request.body);
         let (sent_at, reused) = (self.clock.now(), connection.was_used());
-        let mut send_state = SendState::NotSent;
-        let received = connection.send(&request.method, message, None, &mut send_state);
+        let mut progress = ExchangeProgress::default();
+        let received = connection.send(&request.method, message, None, &mut progress);
         let received = timeout(Duration::from(max_wait), received).await;
         match received.unwrap_or(Err(CallError::TimedOut)) {
             Ok(received) => Ok((received.response, received.reusable.then_some(connection))),
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -10,6 +10,7 @@
     std::{
         io,
         net::{IpAddr, SocketAddr},
+        sync::atomic::{AtomicU64, Ordering},
         time::Duration,
     },
     tokio::{
@@ -35,11 +36,28 @@
 /// How long sent data may stay unacknowledged before the connection is considered broken.
 const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Whether any byte of a request may have been sent.
+/// How far an exchange has come, also if it has failed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ExchangeProgress {
+    /// Whether any byte of the request may have been sent.
+    pub(crate) may_be_sent: bool,
+    /// The number of responses that were skipped because they belong to other exchanges, or may.
+    pub(crate) skipped: u32,
+    /// The number of the connection, which no other connection of the process has; 0 if there is none.
+    pub(crate) connection: u64,
+    /// How many requests were sent on the connection before.
+    pub(crate) earlier_requests: u32,
+}
+
+/// Whether a connection can carry a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SendState {
-    NotSent,
-    MaybeSent,
+pub(crate) enum ConnectionState {
+    /// It is open and has received nothing since the last response.
+    Idle,
+    /// It was closed, or has failed.
+    Closed,
+    /// Something was received that no request has asked for.
+    HasUnexpectedInput,
 }
 
 /// Why a request got no complete response.
@@ -77,20 +95,30 @@
     opened_at: Millis,
     /// When data was last received, or when the connection was opened.
     received_at: Millis,
-    /// Whether a request was sent on it.
-    used: bool,
+    number: u64,
+    /// How many requests were sent on it.
+    requests: u32,
     /// Whether a load probe was sent on it, whose response carries no request id.
     carried_probe: bool,
 }
 
+/// The number of connections that were opened.
+static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
+
+/// The headers that tell responses from each other.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct IdHeaders<'a> {
+    /// The header that carries the id of the request.
+    pub(crate) id: &'a HeaderName,
+    /// The header of responses to requests that were not run.
+    pub(crate) not_run: &'a HeaderName,
+}
+
 /// How the response to a request is told from other responses on the same connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ExpectedResponse<'a> {
-    /// The header that carries the id of the request.
-    pub(crate) id_header: &'a HeaderName,
+    pub(crate) headers: IdHeaders<'a>,
     pub(crate) id: &'a HeaderValue,
-    /// The header of responses to requests that were not run. Not all of these carry an id.
-    pub(crate) not_run_header: &'a HeaderName,
 }
 
 /// A complete response, with what it says about its connection.
@@ -127,14 +155,16 @@
             Ok(Ok(stream)) => {
                 let (buf, now) = (BytesMut::new(), clock.now());
                 let (opened_at, received_at) = (now, now);
-                let (used, carried_probe) = (false, false);
+                let number = CONNECTIONS.fetch_add(1, Ordering::Relaxed) + 1;
+                let (requests, carried_probe) = (0, false);
                 Ok(ClientConnection {
                     stream,
                     buf,
                     clock,
                     opened_at,
                     received_at,
-                    used,
+                    number,
+                    requests,
                     carried_probe,
                 })
             }
@@ -143,19 +173,25 @@
         }
     }
 
-    /// Returns whether the connection is still open and has received nothing since the last
-    /// response.
-    pub(crate) fn is_open_and_idle(&self) -> bool {
+    /// Returns whether the connection can carry a request.
+    pub(crate) fn state(&self) -> ConnectionState {
         let mut byte = [0];
-        let pending_input = self.stream.try_read(&mut byte);
-        let no_input =
-            matches!(&pending_input, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
-        self.buf.is_empty() && no_input
+        match self.stream.try_read(&mut byte) {
+            _ if !self.buf.is_empty() => ConnectionState::HasUnexpectedInput,
+            Ok(1..) => ConnectionState::HasUnexpectedInput,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => ConnectionState::Idle,
+            Ok(0) | Err(_) => ConnectionState::Closed,
+        }
     }
 
     /// Returns whether a request was sent on the connection.
     pub(crate) fn was_used(&self) -> bool {
-        self.used
+        self.requests > 0
+    }
+
+    /// Returns the number of the connection, which no other connection of the process has.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
     }
 
     /// Returns when the connection was opened.
@@ -182,21 +218,25 @@
         message: Bytes,
     ) -> Result<ReceivedResponse, CallError> {
         self.carried_probe = true;
-        self.send(&Method::GET, message, None, &mut SendState::NotSent).await
+        self.send(&Method::GET, message, None, &mut ExchangeProgress::default()).await
     }
 
     /// Sends a request and reads the complete response. If `expected` is given, responses that
     /// carry the id of another request are skipped. On a connection that has carried a load probe,
     /// those without an id are skipped as well, unless they say that a request was not run: the
-    /// response to the probe did not say so. `send_state` is set to [`SendState::MaybeSent`] before the first byte may be sent.
+    /// response to the probe did not say so. `progress` counts what is skipped, and says that the
+    /// request may have been sent before the first byte may be.
     pub(crate) async fn send(
         &mut self,
         method: &Method,
         message: Bytes,
         expected: Option<ExpectedResponse<'_>>,
-        send_state: &mut SendState,
+        progress: &mut ExchangeProgress,
     ) -> Result<ReceivedResponse, CallError> {
-        self.used = true;
+        progress.connection = self.number;
+        progress.earlier_requests = self.requests;
+        progress.may_be_sent = true;
+        self.requests += 1;
         let ClientConnection { stream, buf, clock, received_at, carried_probe, .. } = self;
         let (mut rx, mut tx) = stream.split();
         let mut remaining = message;
@@ -204,11 +244,11 @@
             method,
             expected,
             skips_unnamed: *carried_probe,
+            progress,
             partial: None,
             received: 0,
             memory: BodyMemory::default(),
         };
-        *send_state = SendState::MaybeSent;
         loop {
             if buf.capacity() - buf.len() < MIN_READ_CAPACITY {
                 buf.reserve(MIN_READ_CAPACITY);
@@ -251,6 +291,7 @@
     expected: Option<ExpectedResponse<'a>>,
     /// Whether a response without an id may be that to a load probe.
     skips_unnamed: bool,
+    progress: &'a mut ExchangeProgress,
     partial: Option<(ResponseHead, BodyReader)>,
     /// How many bytes were received for the request.
     received: u64,
@@ -278,8 +319,10 @@
                     Err(_) => return Err(CallError::InvalidResponse("malformed response head")),
                 },
                 Some((head, mut reader)) => match reader.advance(buf) {
-                    Ok(true) if self.is_for_another_request(&head) => {}
-                    Ok(true) => return Ok(Some((head, reader.into_bytes()))),
+                    Ok(true) if self.is_own(&head) => {
+                        return Ok(Some((head, reader.into_bytes())));
+                    }
+                    Ok(true) => {}
                     Ok(false) => {
                         self.partial = Some((head, reader));
                         return Ok(None);
@@ -308,9 +351,7 @@
     /// Handles the end of the input, which completes a body without a declared length.
     fn on_eof(&mut self) -> Result<CompleteResponse, CallError> {
         match self.partial.take() {
-            Some((head, reader))
-                if reader.is_complete_at_eof() && !self.is_for_another_request(&head) =>
-            {
+            Some((head, reader)) if reader.is_complete_at_eof() && self.is_own(&head) => {
                 Ok(Some((head, reader.into_bytes())))
             }
             Some(_) => Err(CallError::InvalidResponse("truncated response")),
@@ -318,11 +359,14 @@
         }
     }
 
-    fn is_for_another_request(&self, head: &ResponseHead) -> bool {
-        let Some(expected) = self.expected else { return false };
-        match head.headers.get(expected.id_header) {
-            Some(echoed) => echoed != expected.id,
-            None => self.skips_unnamed && !head.headers.contains_key(expected.not_run_header),
-        }
+    /// Returns whether a complete response is that to the request, and counts it if it is not.
+    fn is_own(&mut self, head: &ResponseHead) -> bool {
+        let Some(ExpectedResponse { headers, id, .. }) = self.expected else { return true };
+        let is_own = match head.headers.get(headers.id) {
+            Some(echoed) => echoed == id,
+            None => !self.skips_unnamed || head.headers.contains_key(headers.not_run),
+        };
+        self.progress.skipped += u32::from(!is_own);
+        is_own
     }
 }
--- a/crates/oriolehoist_edge/src/connection/idle_pool.rs
+++ b/crates/oriolehoist_edge/src/connection/idle_pool.rs
@@ -1,5 +1,9 @@
 use {
-    crate::{connection::ClientConnection, process::lock},
+    crate::{
+        connection::{ClientConnection, ConnectionState},
+        process::lock,
+    },
+    oriolehoist_log::{Event, report},
     oriolehoist_time::Millis,
     std::{collections::HashMap, net::SocketAddr, sync::Mutex},
 };
@@ -22,9 +26,15 @@
         let mut connections = lock(&self.connections);
         let connections = connections.get_mut(&address)?;
         connections.retain(|entry| now < entry.expires_at);
-        while let Some(entry) = connections.pop() {
-            if entry.connection.is_open_and_idle() {
-                return Some(entry.connection);
+        while let Some(IdleConnection { connection, .. }) = connections.pop() {
+            match connection.state() {
+                ConnectionState::Idle => return Some(connection),
+                ConnectionState::Closed => {}
+                ConnectionState::HasUnexpectedInput => {
+                    let number = connection.number();
+                    let text = format_args!("to={address} connection={number} skipped=0");
+                    report(Event::ResponseUnexpected, text);
+                }
             }
         }
         None
--- a/crates/oriolehoist_edge/src/connection/mod.rs
+++ b/crates/oriolehoist_edge/src/connection/mod.rs
@@ -17,7 +17,8 @@
     callers::serve_callers,
     client::{HttpClient, HttpClientOptions},
     client_connection::{
-        CallError, ClientConnection, ExpectedResponse, ReceivedResponse, SendState,
+        CallError, ClientConnection, ConnectionState, ExchangeProgress, ExpectedResponse,
+        IdHeaders, ReceivedResponse,
     },
     idle_pool::IdlePool,
     response_memory::BodyMemory,
--- a/crates/oriolehoist_edge/src/control/orders.rs
+++ b/crates/oriolehoist_edge/src/control/orders.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection::{CallError, ClientConnection, HttpClient, HttpClientOptions},
+        connection::{CallError, ClientConnection, ConnectionState, HttpClient, HttpClientOptions},
         control::order_log::{OrderConnection, OrderLog, OrderTrace},
         process::{Shared, lock},
         request::{Absence, MISDIRECTED, observe_statements},
@@ -156,7 +156,8 @@
             Session { id, .. } if *id > Some(session) => return OrderOutcome::Disconnected,
             Session { id, connection } => (*id < Some(session), connection.take()),
         };
-        let connection = match connection.filter(ClientConnection::is_open_and_idle) {
+        let is_idle = |connection: &ClientConnection| connection.state() == ConnectionState::Idle;
+        let connection = match connection.filter(is_idle) {
             Some(connection) if !is_new => connection,
             _ if !is_new => return OrderOutcome::Disconnected,
             _ => match self.http.connect(order.address).await {
--- a/crates/oriolehoist_edge/src/process/metrics.rs
+++ b/crates/oriolehoist_edge/src/process/metrics.rs
@@ -39,6 +39,7 @@
     held_ends: IntCounterVec,
     held_ms: IntCounter,
     endless_responses: IntCounter,
+    unexpected_responses: IntCounterVec,
     abandoned: IntCounter,
     servers_age: IntGauge,
     config_age: IntGauge,
@@ -133,6 +134,11 @@
                 "oriolehoist_endless_responses_total",
                 "Responses of servers that were given up because they had no end.",
             )?,
+            unexpected_responses: counter(
+                "oriolehoist_unexpected_responses_total",
+                "Responses of servers that were skipped, as they may belong to other calls.",
+                "call",
+            )?,
             abandoned: IntCounter::new(
                 "oriolehoist_abandoned_requests_total",
                 "Requests that were given up because their callers had left.",
@@ -210,6 +216,7 @@
         metrics.registry.register(Box::new(metrics.held_ends.clone()))?;
         metrics.registry.register(Box::new(metrics.held_ms.clone()))?;
         metrics.registry.register(Box::new(metrics.endless_responses.clone()))?;
+        metrics.registry.register(Box::new(metrics.unexpected_responses.clone()))?;
         metrics.registry.register(Box::new(metrics.abandoned.clone()))?;
         metrics.registry.register(Box::new(metrics.sync_bytes.clone()))?;
         metrics.registry.register(Box::new(metrics.servers_age.clone()))?;
@@ -352,6 +359,11 @@
         self.endless_responses.inc();
     }
 
+    /// Records that responses were skipped during a call, which is a `request` or an `order`.
+    pub(crate) fn on_unexpected_responses(&self, call: &str, count: u32) {
+        self.unexpected_responses.with_label_values(&[call]).inc_by(u64::from(count));
+    }
+
     /// Records that a request was given up because its caller had left.
     pub(crate) fn on_abandoned(&self) {
         self.abandoned.inc();
--- a/crates/oriolehoist_edge/src/request/exchange.rs
+++ b/crates/oriolehoist_edge/src/request/exchange.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        connection::{Backend, CallError, ExpectedResponse, SendState},
+        connection::{
+            Backend, CallError, ExchangeProgress, ExpectedResponse, IdHeaders, ReceivedResponse,
+        },
         process::Shared,
         request::{
             forward::RoutedRequest,
@@ -97,16 +99,16 @@
         sent_at: now,
         has_ended: false,
     };
-    let mut send_state = SendState::NotSent;
+    let mut progress = ExchangeProgress::default();
     let expected = ExpectedResponse {
-        id_header: &names.request_id,
+        headers: IdHeaders { id: &names.request_id, not_run: &names.not_run },
         id: &request.id,
-        not_run_header: &names.not_run,
     };
-    let sending = backend.send(&request.method, message, expected, &mut send_state);
+    let sending = backend.send(&request.method, message, expected, &mut progress);
     let result = timeout(Duration::from(remaining), sending).await;
     let result = result.unwrap_or(Err(CallError::TimedOut));
     guard.has_ended = true;
+    log_exchange(cx, request, backend, now, &progress, &result);
     match &result {
         // Another process may have the address.
         Ok(received) if received.response.status == MISDIRECTED => {}
@@ -150,14 +152,14 @@
             };
             outcome
         }
-        Err(CallError::TimedOut) if send_state == SendState::MaybeSent => {
+        Err(CallError::TimedOut) if progress.may_be_sent => {
             guard.outcome = InFlightOutcome::Lost;
             backend.close_silent(now);
             AttemptOutcome::TimedOut
         }
         Err(CallError::Unwanted) => AttemptOutcome::NotSent,
         // A server resets connections when it has too many, so this counts as overload.
-        Err(error) if send_state == SendState::NotSent => {
+        Err(error) if !progress.may_be_sent => {
             if was_rejected(&error) {
                 guard.outcome = InFlightOutcome::Shed;
             }
@@ -182,6 +184,36 @@
     }
 }
 
+/// Logs responses that were skipped, and refusals with the connections that they came on.
+fn log_exchange(
+    cx: &Shared,
+    request: &RoutedRequest,
+    backend: &Backend,
+    sent_at: Millis,
+    progress: &ExchangeProgress,
+    result: &Result<ReceivedResponse, CallError>,
+) {
+    let (id, server) = (request.id_text(), &backend.incarnation.id);
+    let ExchangeProgress { skipped, connection, earlier_requests, .. } = progress;
+    if *skipped > 0 {
+        cx.metrics.on_unexpected_responses("request", *skipped);
+        let to = backend.address;
+        let text = format_args!(
+            "to={to} connection={connection} skipped={skipped} request={id} server={server}"
+        );
+        report(Event::ResponseUnexpected, text);
+    }
+    let Ok(ReceivedResponse { response, .. }) = result else { return };
+    if response.headers.contains_key(&cx.platform.header_names().not_run) {
+        let (status, took) = (response.status, cx.clock.now().since(sent_at).0);
+        let text = format_args!(
+            "request={id} server={server} status={status} connection={connection} \
+             earlier_requests={earlier_requests} took_ms={took}"
+        );
+        report(Event::AttemptRefused, text);
+    }
+}
+
 /// Returns whether the server, or something before it, did not accept the connection.
 fn was_rejected(error: &CallError) -> bool {
     matches!(error, CallError::Connect(error) if error.kind() != io::ErrorKind::TimedOut)
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -145,6 +145,10 @@
     LoadProbesUnanswered = 4020, Warn;
     /// Requests to a service began to wait for its servers' queues, or none waits any more.
     RequestsHeld = 4021, Info;
+    /// Responses arrived that belong to no request in flight, or may. They were skipped.
+    ResponseUnexpected = 4022, Info;
+    /// A server said that it did not run a request.
+    AttemptRefused = 4023, Debug;
     /// A peer sent a malformed message.
     PeerMalformed = 5001, Warn;
 }
