Send attempts of one request over different connections

Cause: a server may send a complete response once more, where the next one is expected. Responses were told apart by the request's id, which all attempts of a request share. After a refusal (421) the request is sent again after 250 ms, to the same server and over the connection that was used last; the repeated refusal of the first attempt was taken for the response to the second, which ran. A refusal without an id could be taken for that of any later request.

Change: ConnectionHistory (oriolehoist_exchange) keeps what a connection has carried. A connection with an earlier attempt of the request is passed over, and stays in the pool for other requests. A response without an id is taken only if none like it was received on the connection before, and the connection is closed after it. As a repeated response equals its original, no order of attempts and repetitions can lead to a wrong match; waiting or checking for input before a connection is used again could not rule it out.

--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -2,7 +2,7 @@
     crate::{
         connection::{
             CallError, ClientConnection, ConnectionState, ExchangeProgress, ExpectedResponse,
-            IdlePool, ReceivedResponse, backend_probe::ServerProbes,
+            IdHeaders, IdlePool, ReceivedResponse, backend_probe::ServerProbes,
             backend_warm_up::ObservedRegistration,
         },
         process::lock,
@@ -226,7 +226,7 @@
         expected: ExpectedResponse<'_>,
         progress: &mut ExchangeProgress,
     ) -> Result<ReceivedResponse, CallError> {
-        let mut connection = self.acquire().await?;
+        let mut connection = self.acquire(expected.id).await?;
         // The server may have said so while the connection was established.
         if !self.admits_requests() {
             return Err(CallError::Unwanted);
@@ -241,9 +241,9 @@
         result
     }
 
-    /// Takes a connection from the pool, or opens one.
-    async fn acquire(&self) -> Result<ClientConnection, CallError> {
-        match self.pool.take(self.clock.now(), self.address) {
+    /// Takes a connection from the pool that admits a request with this id, or opens one.
+    async fn acquire(&self, id: Option<&HeaderValue>) -> Result<ClientConnection, CallError> {
+        match self.pool.take(self.clock.now(), self.address, id) {
             Some(connection) => Ok(connection),
             None => self.connect().await,
         }
@@ -279,9 +279,13 @@
     pub(crate) async fn probe_load(
         &self,
         path: &str,
+        headers: IdHeaders<'_>,
     ) -> Result<(ReceivedResponse, ClientConnection), CallError> {
-        let mut connection = self.acquire().await?;
-        let received = connection.send_probe(self.health_check(path)).await?;
+        let mut connection = self.acquire(None).await?;
+        let expected = ExpectedResponse { headers, id: None, may_be_unnamed: true };
+        let (message, mut progress) = (self.health_check(path), ExchangeProgress::default());
+        let received =
+            connection.send(&Method::GET, message, Some(expected), &mut progress).await?;
         Ok((received, connection))
     }
 
--- a/crates/oriolehoist_edge/src/connection/client.rs
+++ b/crates/oriolehoist_edge/src/connection/client.rs
@@ -41,7 +41,7 @@
 
     /// Takes an idle connection from the pool, or opens a new one.
     pub(crate) async fn acquire(&self, to: SocketAddr) -> Result<ClientConnection, CallError> {
-        match self.pool.take(self.clock.now(), to) {
+        match self.pool.take(self.clock.now(), to, None) {
             Some(connection) => Ok(connection),
             None => self.connect(to).await,
         }
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -3,6 +3,7 @@
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     http::{HeaderName, HeaderValue, Method},
+    oriolehoist_exchange::{ConnectionHistory, Correlation, ExchangeName, ResponseId, Verdict},
     oriolehoist_http1::{BodyReader, ResponseHead, parse_response_head},
     oriolehoist_port::HttpResponse,
     oriolehoist_time::{Clock, Millis},
@@ -98,8 +99,7 @@
     number: u64,
     /// How many requests were sent on it.
     requests: u32,
-    /// Whether a load probe was sent on it, whose response carries no request id.
-    carried_probe: bool,
+    history: ConnectionHistory,
 }
 
 /// The number of connections that were opened.
@@ -118,7 +118,20 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ExpectedResponse<'a> {
     pub(crate) headers: IdHeaders<'a>,
-    pub(crate) id: &'a HeaderValue,
+    /// The id of the request, if it has one.
+    pub(crate) id: Option<&'a HeaderValue>,
+    /// Whether a response without an id is taken by its place, see [`Correlation::ByIdOrOrder`].
+    pub(crate) may_be_unnamed: bool,
+}
+
+impl ExpectedResponse<'_> {
+    fn correlation(&self) -> Correlation {
+        match self.id.map(|id| ExchangeName::of(id.as_bytes())) {
+            None => Correlation::ByOrder,
+            Some(name) if self.may_be_unnamed => Correlation::ByIdOrOrder(name),
+            Some(name) => Correlation::ById(name),
+        }
+    }
 }
 
 /// A complete response, with what it says about its connection.
@@ -156,7 +169,7 @@
                 let (buf, now) = (BytesMut::new(), clock.now());
                 let (opened_at, received_at) = (now, now);
                 let number = CONNECTIONS.fetch_add(1, Ordering::Relaxed) + 1;
-                let (requests, carried_probe) = (0, false);
+                let (requests, history) = (0, ConnectionHistory::default());
                 Ok(ClientConnection {
                     stream,
                     buf,
@@ -165,7 +178,7 @@
                     received_at,
                     number,
                     requests,
-                    carried_probe,
+                    history,
                 })
             }
             Ok(Err(error)) => Err(CallError::Connect(error)),
@@ -184,6 +197,12 @@
         }
     }
 
+    /// Returns whether the response to a request with this id could be told from all others on the
+    /// connection.
+    pub(crate) fn admits(&self, id: &HeaderValue) -> bool {
+        self.history.admits(ExchangeName::of(id.as_bytes()))
+    }
+
     /// Returns whether a request was sent on the connection.
     pub(crate) fn was_used(&self) -> bool {
         self.requests > 0
@@ -211,21 +230,9 @@
         let _ = set_socket_linger(&self.stream, Some(Duration::ZERO));
     }
 
-    /// Sends a load probe and reads the first complete response, which may be that of an earlier
-    /// request. After that, responses to requests have to be told from a further one to the probe.
-    pub(crate) async fn send_probe(
-        &mut self,
-        message: Bytes,
-    ) -> Result<ReceivedResponse, CallError> {
-        self.carried_probe = true;
-        self.send(&Method::GET, message, None, &mut ExchangeProgress::default()).await
-    }
-
-    /// Sends a request and reads the complete response. If `expected` is given, responses that
-    /// carry the id of another request are skipped. On a connection that has carried a load probe,
-    /// those without an id are skipped as well, unless they say that a request was not run: the
-    /// response to the probe did not say so. `progress` counts what is skipped, and says that the
-    /// request may have been sent before the first byte may be.
+    /// Sends a request and reads the complete response. Without `expected`, that is the first complete
+    /// response. With it, responses are skipped that belong to other exchanges, or may, and `progress`
+    /// counts them. It also says that the request may have been sent, before the first byte may be.
     pub(crate) async fn send(
         &mut self,
         method: &Method,
@@ -237,13 +244,14 @@
         progress.earlier_requests = self.requests;
         progress.may_be_sent = true;
         self.requests += 1;
-        let ClientConnection { stream, buf, clock, received_at, carried_probe, .. } = self;
+        let ClientConnection { stream, buf, clock, received_at, history, .. } = self;
+        history.start(expected.map_or(Correlation::ByOrder, |expected| expected.correlation()));
         let (mut rx, mut tx) = stream.split();
         let mut remaining = message;
         let mut reader = ResponseReader {
             method,
             expected,
-            skips_unnamed: *carried_probe,
+            history,
             progress,
             partial: None,
             received: 0,
@@ -274,6 +282,7 @@
                 let still_open = read > 0;
                 return Ok(ReceivedResponse {
                     reusable: still_open
+                        && reader.history.is_reusable()
                         && head.is_keep_alive()
                         && remaining.is_empty()
                         && buf.is_empty(),
@@ -289,8 +298,7 @@
 struct ResponseReader<'a> {
     method: &'a Method,
     expected: Option<ExpectedResponse<'a>>,
-    /// Whether a response without an id may be that to a load probe.
-    skips_unnamed: bool,
+    history: &'a mut ConnectionHistory,
     progress: &'a mut ExchangeProgress,
     partial: Option<(ResponseHead, BodyReader)>,
     /// How many bytes were received for the request.
@@ -362,11 +370,14 @@
     /// Returns whether a complete response is that to the request, and counts it if it is not.
     fn is_own(&mut self, head: &ResponseHead) -> bool {
         let Some(ExpectedResponse { headers, id, .. }) = self.expected else { return true };
-        let is_own = match head.headers.get(headers.id) {
-            Some(echoed) => echoed == id,
-            None => !self.skips_unnamed || head.headers.contains_key(headers.not_run),
+        let id = match head.headers.get(headers.id) {
+            Some(echoed) if Some(echoed) == id => ResponseId::Own,
+            Some(_) => ResponseId::Other,
+            None => ResponseId::Missing,
         };
-        self.progress.skipped += u32::from(!is_own);
-        is_own
+        let is_refusal = head.headers.contains_key(headers.not_run);
+        let verdict = self.history.judge(id, is_refusal);
+        self.progress.skipped += u32::from(verdict == Verdict::Unexpected);
+        verdict == Verdict::Own
     }
 }
--- a/crates/oriolehoist_edge/src/connection/idle_pool.rs
+++ b/crates/oriolehoist_edge/src/connection/idle_pool.rs
@@ -3,6 +3,7 @@
         connection::{ClientConnection, ConnectionState},
         process::lock,
     },
+    http::HeaderValue,
     oriolehoist_log::{Event, report},
     oriolehoist_time::Millis,
     std::{collections::HashMap, net::SocketAddr, sync::Mutex},
@@ -21,12 +22,23 @@
 }
 
 impl IdlePool {
-    /// Takes the most recently used connection that is still open and has no unread input.
-    pub(crate) fn take(&self, now: Millis, address: SocketAddr) -> Option<ClientConnection> {
+    /// Takes the most recently used connection that is still open, has no unread input and admits a
+    /// request with this id, if there is one.
+    ///
+    /// If there are only connections that don't admit it, the one that expires first is closed: the
+    /// connection that is opened in its place comes to the pool as well.
+    pub(crate) fn take(
+        &self,
+        now: Millis,
+        address: SocketAddr,
+        id: Option<&HeaderValue>,
+    ) -> Option<ClientConnection> {
         let mut connections = lock(&self.connections);
         let connections = connections.get_mut(&address)?;
         connections.retain(|entry| now < entry.expires_at);
-        while let Some(IdleConnection { connection, .. }) = connections.pop() {
+        let admits = |entry: &IdleConnection| id.is_none_or(|id| entry.connection.admits(id));
+        while let Some(index) = connections.iter().rposition(admits) {
+            let IdleConnection { connection, .. } = connections.remove(index);
             match connection.state() {
                 ConnectionState::Idle => return Some(connection),
                 ConnectionState::Closed => {}
@@ -37,6 +49,10 @@
                 }
             }
         }
+        let first = (0..connections.len()).min_by_key(|index| connections[*index].expires_at);
+        if let Some(first) = first {
+            connections.remove(first);
+        }
         None
     }
 
--- a/crates/oriolehoist_edge/src/request/exchange.rs
+++ b/crates/oriolehoist_edge/src/request/exchange.rs
@@ -102,7 +102,8 @@
     let mut progress = ExchangeProgress::default();
     let expected = ExpectedResponse {
         headers: IdHeaders { id: &names.request_id, not_run: &names.not_run },
-        id: &request.id,
+        id: Some(&request.id),
+        may_be_unnamed: false,
     };
     let sending = backend.send(&request.method, message, expected, &mut progress);
     let result = timeout(Duration::from(remaining), sending).await;
--- a/crates/oriolehoist_edge/src/request/load_probe.rs
+++ b/crates/oriolehoist_edge/src/request/load_probe.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection::{Backend, CallError, ProbeRun},
+        connection::{Backend, CallError, IdHeaders, ProbeRun},
         process::{LoadPeers, Shared},
         request::{
             exchange::MISDIRECTED,
@@ -144,8 +144,10 @@
     if cx.metrics.on_probed_service(&server.service) {
         report(Event::LoadProbesUsed, format_args!("service={}", server.service));
     }
+    let names = cx.platform.header_names();
+    let headers = IdHeaders { id: &names.request_id, not_run: &names.not_run };
     // Dropping a probe that took too long closes its connection.
-    let sending = timeout(Duration::from(PROBE_TIMEOUT), server.probe_load(path));
+    let sending = timeout(Duration::from(PROBE_TIMEOUT), server.probe_load(path, headers));
     let end = match sending.await.unwrap_or(Err(CallError::TimedOut)) {
         Ok((received, connection)) => {
             let end = accept(cx, server, started_at, &received.response);
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -54,6 +54,9 @@
 /// How long the servers take to run a request.
 const SERVICE_TIME: Duration = Duration::from_millis(10);
 
+/// The port of the proxies in front of servers.
+pub(super) const PROXY_PORT: u16 = 8081;
+
 /// The port at which the daemons reach the store.
 const STORE_EDGE_PORT: u16 = 8170;
 
@@ -258,7 +261,7 @@
         service: &str,
     ) -> eyre::Result<String> {
         let server = self.start_server(index, service).await?;
-        let (edge, address) = (server_edge(index), self.address(100 + index, 8081));
+        let (edge, address) = (server_edge(index), self.address(100 + index, PROXY_PORT));
         self.network.add_edge(&edge, address, server.address).await?;
         self.register_at(&server.id, address, server.born, service, "ready");
         self.servers.push(server);
@@ -341,7 +344,16 @@
 
     /// Registers a server that a test runs itself at [`Deployment::server_address`].
     pub fn register_address(&self, index: u8, service: &str) {
+        self.register_address_in_state(index, service, "ready");
+    }
+
+    /// Registers such a server with a state, or updates its registration.
+    pub fn register_address_in_state(&self, index: u8, service: &str, state: &str) {
         let address = self.server_address(index);
+        self.register_at(&format!("i-{index}"), address, BORN, service, state);
+    }
+
+    pub(super) fn register_address_at(&self, index: u8, address: SocketAddr, service: &str) {
         self.register_at(&format!("i-{index}"), address, BORN, service, "ready");
     }
 
--- a/crates/oriolehoist_testkit/src/users_platform/mod.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/mod.rs
@@ -7,6 +7,7 @@
 mod grants;
 mod probed_server;
 mod raw_server;
+mod scripted_server;
 mod server;
 mod store;
 mod store_state;
@@ -19,6 +20,7 @@
     grants::AcceptedGrant,
     probed_server::{ProbedArrivals, ProbedBehaviour, ProbedServer},
     raw_server::{RawServer, ResponseFault},
+    scripted_server::{ScriptedCall, ScriptedEnd, ScriptedReply, ScriptedServer, raw_response},
     server::{ArrivedRequest, ExecutedRequest, Server, ServerFaults, TurnAway},
     store::Store,
     store_state::{StoreFaults, StoreSnapshot},
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -11,11 +11,13 @@
 mod handovers;
 mod headroom;
 mod load;
+
 mod load_probes;
 mod log_lines;
 mod partial_partitions;
 mod rate_limits;
 mod relays;
+mod repeated_responses;
 mod requests;
 mod server_statements;
 mod servers;
