Tell the responses to orders apart by ids, and send releases alone if there are none

Orders carried no id, and releases to one server shared pooled connections, so a repeated response to a release counted as the response to the next one, with its handover token.

Change: each order carries an id of its own, and its response is matched like that to a request.

Servers that echo the ids keep sharing connections.

--- a/crates/oriolehoist_edge/src/connection/client.rs
+++ b/crates/oriolehoist_edge/src/connection/client.rs
@@ -1,5 +1,7 @@
 use {
-    crate::connection::{CallError, ClientConnection, ExchangeProgress, IdlePool, SilenceTracker},
+    crate::connection::{
+        CallError, ClientConnection, ExchangeProgress, ExpectedResponse, IdlePool, SilenceTracker,
+    },
     http::{HeaderValue, header},
     oriolehoist_http1::encode_request,
     oriolehoist_log::{Event, report},
@@ -63,11 +65,18 @@
         request: &HttpRequest,
         max_wait: Millis,
     ) -> Result<HttpResponse, CallError> {
-        let (response, connection) = self.exchange(connection, to, request, max_wait).await?;
+        let mut progress = ExchangeProgress::default();
+        let (response, connection) =
+            self.exchange(connection, to, request, max_wait, None, &mut progress).await?;
+        self.put(to, connection);
+        Ok(response)
+    }
+
+    /// Returns a connection to the pool, if it can be reused.
+    pub(crate) fn put(&self, to: SocketAddr, connection: Option<ClientConnection>) {
         if let Some(connection) = connection {
             self.pool.put(self.clock.now() + self.options.idle_timeout, to, connection);
         }
-        Ok(response)
     }
 
     /// Sends a request whose response may take long, and returns the response. Gives up with
@@ -89,13 +98,15 @@
 
     /// Sends a request and returns the response, and the connection if it can be reused. If no
     /// complete response arrives, the connection is reset, so that data still in transit is not
-    /// delivered.
+    /// delivered. `expected` tells the response from others on the connection, if those may come.
     pub(crate) async fn exchange(
         &self,
         mut connection: ClientConnection,
         to: SocketAddr,
         request: &HttpRequest,
         max_wait: Millis,
+        expected: Option<ExpectedResponse<'_>>,
+        progress: &mut ExchangeProgress,
     ) -> Result<(HttpResponse, Option<ClientConnection>), CallError> {
         let mut headers = request.headers.clone();
         if let Ok(host) = HeaderValue::from_str(&to.to_string()) {
@@ -106,8 +117,7 @@
         }
         let message = encode_request(&request.method, &request.path, &headers, &request.body);
         let (sent_at, reused) = (self.clock.now(), connection.was_used());
-        let mut progress = ExchangeProgress::default();
-        let received = connection.send(&request.method, message, None, &mut progress);
+        let received = connection.send(&request.method, message, expected, progress);
         let received = timeout(Duration::from(max_wait), received).await;
         match received.unwrap_or(Err(CallError::TimedOut)) {
             Ok(received) => Ok((received.response, received.reusable.then_some(connection))),
--- a/crates/oriolehoist_edge/src/control/order_log.rs
+++ b/crates/oriolehoist_edge/src/control/order_log.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        connection::ExchangeProgress,
         control::field::OrDash,
         process::{Shared, lock},
     },
@@ -38,6 +39,7 @@
     pub(super) table_version: u64,
     pub(super) started_at: Millis,
     pub(super) connection: OrderConnection,
+    pub(super) progress: ExchangeProgress,
     /// What the peer called itself in its response.
     pub(super) peer: Option<SmolStr>,
 }
@@ -70,7 +72,7 @@
         outcome: &OrderOutcome,
         trace: &OrderTrace,
     ) {
-        let OrderTrace { table_version, started_at, connection, peer } = trace;
+        let OrderTrace { table_version, started_at, connection, progress, peer } = trace;
         let now = cx.clock.now();
         let end = outcome_name(outcome);
         cx.metrics.on_order(end, &connection.to_string());
@@ -93,12 +95,12 @@
         let (id, address, term, kind) = (order.id, order.address, self.term, kind(order));
         let ServerIncarnation { id: server, started_at: born } = &order.server;
         let (peer, since_response) = (OrDash(peer.as_ref()), OrDash(since_response));
-        let took = now.since(*started_at).0;
+        let (took, unexpected) = (now.since(*started_at).0, progress.skipped);
         let text = format_args!(
             "order={id} term={term} table={table_version} server={server} born={born} \
              address={address} kind={kind} keys={range} fence={fence} duration_ms={duration} \
-             connection={connection} peer={peer} since_response_ms={since_response} end={end} \
-             took_ms={took}"
+             connection={connection} unexpected={unexpected} peer={peer} \
+             since_response_ms={since_response} end={end} took_ms={took}"
         );
         match is_done {
             true if skipped > 0 => {
--- a/crates/oriolehoist_edge/src/control/orders.rs
+++ b/crates/oriolehoist_edge/src/control/orders.rs
@@ -2,11 +2,15 @@
 
 use {
     crate::{
-        connection::{CallError, ClientConnection, ConnectionState, HttpClient, HttpClientOptions},
+        connection::{
+            CallError, ClientConnection, ConnectionState, ExchangeProgress, ExpectedResponse,
+            HttpClient, HttpClientOptions, IdHeaders,
+        },
         control::order_log::{OrderConnection, OrderLog, OrderTrace},
         process::{Shared, lock},
         request::{Absence, MISDIRECTED, observe_statements},
     },
+    http::HeaderValue,
     oriolehoist_keyspace::{OrderOutcome, OutgoingOrder, SessionId},
     oriolehoist_port::{HttpResponse, Order, Revision},
     oriolehoist_time::Millis,
@@ -104,6 +108,7 @@
             table_version,
             started_at: self.cx.clock.now(),
             connection: OrderConnection::None,
+            progress: ExchangeProgress::default(),
             peer: None,
         };
         let outcome = self.send_queued(order, &mut trace).await;
@@ -173,8 +178,8 @@
         }
         trace.connection = if is_new { OrderConnection::New } else { OrderConnection::Reused };
         lock(current).id = Some(session);
-        let http_request = self.cx.platform.encode_order(&order.server.id, &order.order);
-        match self.http.exchange(connection, order.address, &http_request, order.timeout).await {
+        // The server may not echo the ids of orders, and all grants of a session use one connection.
+        match self.exchange(connection, order, true, trace).await {
             Ok((response, connection)) => {
                 lock(current).connection = connection;
                 trace.peer = self.cx.platform.decode_peer_name(&response.headers);
@@ -188,6 +193,35 @@
         }
     }
 
+    /// Sends an order with an id of its own over a connection. `may_be_unnamed` is whether a response
+    /// without an id is taken by its place.
+    async fn exchange(
+        &self,
+        connection: ClientConnection,
+        order: &OutgoingOrder,
+        may_be_unnamed: bool,
+        trace: &mut OrderTrace,
+    ) -> Result<(HttpResponse, Option<ClientConnection>), CallError> {
+        let names = self.cx.platform.header_names();
+        let mut request = self.cx.platform.encode_order(&order.server.id, &order.order);
+        let id = HeaderValue::from_str(&format!("{:016x}", fastrand::u64(..)));
+        let id = id.unwrap_or_else(|error| unreachable!("digits are a valid header: {error}"));
+        request.headers.insert(names.request_id.clone(), id.clone());
+        let expected = ExpectedResponse {
+            headers: IdHeaders { id: &names.request_id, not_run: &names.not_run },
+            id: Some(&id),
+            may_be_unnamed,
+        };
+        let (to, max_wait, progress) = (order.address, order.timeout, &mut trace.progress);
+        let sending =
+            self.http.exchange(connection, to, &request, max_wait, Some(expected), progress);
+        let result = sending.await;
+        if trace.progress.skipped > 0 {
+            self.cx.metrics.on_unexpected_responses("order", trace.progress.skipped);
+        }
+        result
+    }
+
     /// Records what the end of an order shows about the path to its server.
     fn observe_path(&self, order: &OutgoingOrder, started_at: Millis, error: Option<&CallError>) {
         let Some(view) = self.cx.view.load() else { return };
@@ -218,7 +252,6 @@
     }
 
     async fn send_now(&self, order: &OutgoingOrder, trace: &mut OrderTrace) -> OrderOutcome {
-        let http_request = self.cx.platform.encode_order(&order.server.id, &order.order);
         let conn = match self.http.acquire(order.address).await {
             Ok(conn) => conn,
             Err(error) => {
@@ -233,8 +266,9 @@
         if !self.may_send() {
             return OrderOutcome::Unsent;
         }
-        match self.http.send(conn, order.address, &http_request, order.timeout).await {
-            Ok(response) => {
+        match self.exchange(conn, order, false, trace).await {
+            Ok((response, connection)) => {
+                self.http.put(order.address, connection);
                 trace.peer = self.cx.platform.decode_peer_name(&response.headers);
                 self.observe_statements(order, trace.started_at, &response);
                 OrderOutcome::Answered(self.cx.platform.decode_order_response(&response))
--- a/tests/users_platform/repeated_responses.rs
+++ b/tests/users_platform/repeated_responses.rs
@@ -229,3 +229,49 @@
     clean_up(deployment);
     Ok(())
 }
+
+/// Moves all keys of a server that repeats its responses to releases, and returns the record.
+async fn move_keys(naming: Naming) -> eyre::Result<SharedRecord> {
+    let record = SharedRecord::default();
+    let (deployment, servers) = start(&record, 2, naming).await?;
+    for round in 0..8 {
+        let (leaving, staying) = (FIRST + round % 2, FIRST + (round + 1) % 2);
+        deployment.register_address_in_state(staying, "keyed", "ready");
+        deployment.register_address_in_state(leaving, "keyed", "draining");
+        sleep(MOVE_TIME).await;
+    }
+    drop(servers);
+    clean_up(deployment);
+    Ok(record)
+}
+
+/// Guards against keys that are granted while their last owner is at work on them, because a repeated
+/// response to a release is taken for that to the next release.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_not_granted_while_their_release_waits_when_its_predecessor_is_repeated()
+-> eyre::Result<()> {
+    let record = move_keys(Naming { refusals: true, orders: false }).await?;
+    let record = lock(&record);
+    expect_that!(record.violations, is_empty());
+    expect_that!(record.releases, ge(8));
+    Ok(())
+}
+
+/// Guards against a new connection for each release to a server that names orders in its responses.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn releases_share_connections_to_servers_that_name_them() -> eyre::Result<()> {
+    let record = move_keys(Naming { refusals: true, orders: true }).await?;
+    let record = lock(&record);
+    expect_that!(record.violations, is_empty());
+    expect_that!(record.releases, ge(8));
+    let connections = record.order_connections.values().map(|connections| {
+        let distinct: std::collections::HashSet<_> = connections.iter().collect();
+        (distinct.len(), connections.len())
+    });
+    for (distinct, releases) in connections {
+        expect_that!(distinct, lt(releases));
+    }
+    Ok(())
+}
