Keep implausible numbers in the headers of servers out of the arithmetic

Callers of a server that reports a load or a keep-alive time near the ends of the integers got 502 in a debug build, as the task of their request panicked; in a release build the sum wraps, and the estimated wait is either none or weeks (a Retry-After of 3,419,151 s with saturating sums alone).

Cause: running and waiting requests were added as u32, and seconds multiplied by 1,000 as u64, without regard to overflow.

--- a/crates/oriolehoist_edge/src/request/exchange.rs
+++ b/crates/oriolehoist_edge/src/request/exchange.rs
@@ -121,7 +121,7 @@
             let response = received.response;
             let status = response.status;
             let load = cx.platform.decode_server_load(&response.headers);
-            guard.reported_load = load.map(|load| load.running + load.waiting);
+            guard.reported_load = load.map(|load| load.requests());
             if let Some(load) = load {
                 backend.on_slowdown(load.slowdown());
             }
--- a/crates/oriolehoist_edge/src/request/load_probe.rs
+++ b/crates/oriolehoist_edge/src/request/load_probe.rs
@@ -202,7 +202,7 @@
     if load.work_percent.is_some() {
         estimator.on_slowdown(now, load.slowdown());
     }
-    estimator.on_probed(now, load.running + load.waiting);
+    estimator.on_probed(now, load.requests());
     let after = estimator.expected_latency(now);
     drop(estimator);
     cx.metrics.on_load_probe_correction(before.since(after).max(after.since(before)));
--- a/crates/oriolehoist_port/src/platform.rs
+++ b/crates/oriolehoist_port/src/platform.rs
@@ -66,6 +66,11 @@
 }
 
 impl ServerLoad {
+    /// Returns the number of requests at the server. Saturates, because a server may report any numbers.
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
     /// Returns how many times longer than on a machine of speed 1 work takes at this moment: 1 if
     /// nothing is known.
     pub fn slowdown(&self) -> f64 {
--- a/crates/oriolehoist_time/src/millis.rs
+++ b/crates/oriolehoist_time/src/millis.rs
@@ -34,9 +34,9 @@
     /// The zero duration, or a clock's origin.
     pub const ZERO: Millis = Millis(0);
 
-    /// Creates a duration from whole seconds.
+    /// Creates a duration from whole seconds. Saturates, because a server may announce any time.
     pub const fn from_secs(secs: u64) -> Millis {
-        Millis(secs * 1000)
+        Millis(secs.saturating_mul(1000))
     }
 
     /// Returns the time from `earlier` to `self`, or zero if `earlier` is later than `self`.
--- a/tests/users_platform/load.rs
+++ b/tests/users_platform/load.rs
@@ -34,6 +34,23 @@
     Deployment::start(program, daemons, keyed, plain, DRAIN_PERIOD).await
 }
 
+/// Sends a request for a service without keys, and again while it is refused as not run, for at most this long.
+pub async fn send_until_run(
+    client: &Client,
+    daemon: SocketAddr,
+    path: &str,
+    patience: Duration,
+) -> ClientResponse {
+    let first = Instant::now();
+    loop {
+        let response = client.send(daemon, Method::GET, path, None, DEADLINE).await;
+        if response.status != Some(503) || first.elapsed() > patience {
+            return response;
+        }
+        sleep(SECOND / 10).await;
+    }
+}
+
 /// The responses to the requests of a load, each with the path of its request.
 pub type Responses = Vec<(ClientResponse, &'static str)>;
 
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -14,6 +14,7 @@
 
 mod load_probes;
 mod log_lines;
+mod odd_entries;
 mod partial_partitions;
 mod rate_limits;
 mod relays;
