Show that a response which stops within its head does not look complete

The tests stop six kinds of responses at each third byte of the head, by closing and by resetting, for GET and HEAD, and at each ninth byte by way of another daemon: every one was answered 502, 503 or 504. Complete responses of the same kinds reach the caller.

--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -10,6 +10,7 @@
 mod explain;
 mod handovers;
 mod headroom;
+mod interrupted_heads;
 mod load;
 
 mod load_probes;
