Take no response without the name of its exchange on the project's own interface

Each exchange has a name that the response has to repeat (docs/INTERFACES.md), but a response without one was taken, on pooled connections as well, so a repeated refusal counted as that of the next request.

Change: without the name of its exchange, a response leaves the outcome unknown, as one with another name did already.

Not mended, and without a test: responses to orders of this interface have no name (docs/design/response-correlation.md).

--- a/crates/oriolehoist_daemon/src/request/exchange.rs
+++ b/crates/oriolehoist_daemon/src/request/exchange.rs
@@ -162,8 +162,8 @@
     if let Some(incarnation) = incarnation_of(&headers) {
         backend.on_incarnation(incarnation);
     }
-    if headers.get(EXCHANGE).is_some_and(|echo| echo.as_bytes() != exchange_id.as_bytes()) {
-        // The response belongs to another request.
+    if headers.get(EXCHANGE).map(HeaderValue::as_bytes) != Some(exchange_id.as_bytes()) {
+        // The response belongs to another exchange, or may: servers can send a response once more.
         return ExchangeOutcome::Interrupted;
     }
     match headers.get(NOT_RUN).map(HeaderValue::as_bytes) {
--- a/crates/oriolehoist_testkit/src/users_platform/scripted_server.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/scripted_server.rs
@@ -20,10 +20,19 @@
     pub path: String,
     /// The id of the request, if it carries one.
     pub id: Option<String>,
+    /// The request line and the headers.
+    pub head: String,
     /// The body.
     pub body: Vec<u8>,
 }
 
+impl ScriptedCall {
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+}
+
 /// What a [`ScriptedServer`] does with a call.
 #[derive(Clone, Debug, Default)]
 pub struct ScriptedReply {
@@ -51,6 +60,8 @@
 
 /// A backend server whose responses are the bytes that a test chooses.
 pub struct ScriptedServer {
+    /// The address at which it listens.
+    pub address: SocketAddr,
     task: AbortHandle,
 }
 
@@ -67,7 +78,7 @@
         script: impl Fn(&ScriptedCall) -> ScriptedReply + Send + Sync + 'static,
     ) -> eyre::Result<ScriptedServer> {
         let listener = TcpListener::bind(address).await?;
-        let script: Script = Arc::new(script);
+        let (address, script): (_, Script) = (listener.local_addr()?, Arc::new(script));
         let task = tokio::spawn(async move {
             let mut connections = 0;
             while let Ok((tcp, _)) = listener.accept().await {
@@ -79,7 +90,7 @@
                 );
             }
         });
-        Ok(ScriptedServer { task: task.abort_handle() })
+        Ok(ScriptedServer { address, task: task.abort_handle() })
     }
 }
 
@@ -154,16 +165,12 @@
     loop {
         if let Some(end) = buf.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buf[..end]).into_owned();
-            let header = |name: &str| {
-                let mut lines = head.lines().filter_map(|line| line.split_once(':'));
-                lines.find(|line| line.0.eq_ignore_ascii_case(name)).map(|line| line.1.trim())
-            };
-            let length = header("content-length").and_then(|length| length.parse().ok());
+            let length = header(&head, "content-length").and_then(|length| length.parse().ok());
             let length: usize = length.unwrap_or(0);
             if buf.len() >= end + 4 + length {
                 let mut words = head.split(' ').map(str::to_owned);
                 let (method, path) = (words.next(), words.next());
-                let id = header("x-request-id").map(str::to_owned);
+                let id = header(&head, "x-request-id").map(str::to_owned);
                 let body = buf[end + 4..end + 4 + length].to_vec();
                 buf.drain(..end + 4 + length);
                 return Ok(Some(ScriptedCall {
@@ -171,6 +178,7 @@
                     method: method.unwrap_or_default(),
                     path: path.unwrap_or_default(),
                     id,
+                    head,
                     body,
                 }));
             }
@@ -182,6 +190,11 @@
     }
 }
 
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines.find(|line| line.0.eq_ignore_ascii_case(name)).map(|line| line.1.trim())
+}
+
 /// Returns a response with these headers and a body of this length.
 pub fn raw_response(status: u16, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
     let headers: String =
