--- a/crates/oriolehoist_edge/src/connection/backend.rs
+++ b/crates/oriolehoist_edge/src/connection/backend.rs
@@ -2,7 +2,7 @@
     crate::{
         connection::{
             CallError, ClientConnection, ConnectionState, ExchangeProgress, ExpectedResponse,
-            IdHeaders, IdlePool, ReceivedResponse, backend_probe::ServerProbes,
+            IdlePool, ReceivedResponse, backend_probe::ServerProbes,
             backend_warm_up::ObservedRegistration,
         },
         process::lock,
@@ -258,17 +258,14 @@
         sleep(RESET_DETECTION_DELAY).await;
         match connection.state() {
             ConnectionState::Idle => Ok(connection),
-            ConnectionState::Closed | ConnectionState::HasUnexpectedInput => {
-                Err(CallError::Connect(io::ErrorKind::ConnectionReset.into()))
-            }
+            _ => Err(CallError::Connect(io::ErrorKind::ConnectionReset.into())),
         }
     }
 
     /// Sends a health check over a new connection, and returns the response, whatever its status.
     pub(crate) async fn probe(&self, path: &str) -> Result<HttpResponse, CallError> {
         let mut connection = self.connect().await?;
-        let mut progress = ExchangeProgress::default();
-        let message = self.health_check(path);
+        let (message, mut progress) = (self.health_check(path), ExchangeProgress::default());
         let received = connection.send(&Method::GET, message, None, &mut progress).await?;
         Ok(received.response)
     }
@@ -279,10 +276,9 @@
     pub(crate) async fn probe_load(
         &self,
         path: &str,
-        headers: IdHeaders<'_>,
+        expected: ExpectedResponse<'_>,
     ) -> Result<(ReceivedResponse, ClientConnection), CallError> {
-        let mut connection = self.acquire(None).await?;
-        let expected = ExpectedResponse { headers, id: None, may_be_unnamed: true };
+        let mut connection = self.acquire(expected.id).await?;
         let (message, mut progress) = (self.health_check(path), ExchangeProgress::default());
         let received =
             connection.send(&Method::GET, message, Some(expected), &mut progress).await?;
--- a/crates/oriolehoist_edge/src/request/load_probe.rs
+++ b/crates/oriolehoist_edge/src/request/load_probe.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection::{Backend, CallError, IdHeaders, ProbeRun},
+        connection::{Backend, CallError, ExpectedResponse, IdHeaders, ProbeRun},
         process::{LoadPeers, Shared},
         request::{
             exchange::MISDIRECTED,
@@ -146,8 +146,9 @@
     }
     let names = cx.platform.header_names();
     let headers = IdHeaders { id: &names.request_id, not_run: &names.not_run };
+    let expected = ExpectedResponse { headers, id: None, may_be_unnamed: true };
     // Dropping a probe that took too long closes its connection.
-    let sending = timeout(Duration::from(PROBE_TIMEOUT), server.probe_load(path, headers));
+    let sending = timeout(Duration::from(PROBE_TIMEOUT), server.probe_load(path, expected));
     let end = match sending.await.unwrap_or(Err(CallError::TimedOut)) {
         Ok((received, connection)) => {
             let end = accept(cx, server, started_at, &received.response);
--- a/tests/users_platform/repeated_responses.rs
+++ b/tests/users_platform/repeated_responses.rs
@@ -178,21 +178,26 @@
     broken.map(|response| format!("{response:?} ran {} times", runs(&response.id))).collect()
 }
 
-/// Guards against bookings that run twice because the repeated refusal of their first attempt is taken for
-/// the response to the second one, which has the same id.
-#[gtest]
-#[tokio::test(flavor = "multi_thread")]
-async fn a_booking_does_not_run_twice_when_the_refusal_of_its_first_attempt_is_repeated()
--> eyre::Result<()> {
+/// Sends bookings whose first attempts are refused, and one other beside each of them if `with_others`.
+/// Checks that none runs twice or is refused after it has run, and that all are served.
+async fn check_bookings(naming: Naming, with_others: bool) -> eyre::Result<()> {
     let record = SharedRecord::default();
-    let naming = Naming { refusals: true, orders: true };
     let (deployment, servers) = start(&record, 1, naming).await?;
     let client = Client::new(HOST, "booking")?;
     let daemon = deployment.daemons[0].caller_address;
     let mut responses = Vec::new();
     for key in 0..12 {
-        let path = "/b/refused";
-        responses.push(client.send(daemon, Method::POST, path, Some(key), DEADLINE).await);
+        let send = |path| client.send(daemon, Method::POST, path, Some(key), DEADLINE);
+        // It arrives while the refused booking waits for its second attempt.
+        let other = async {
+            sleep(SERVICE_TIME * 2).await;
+            match with_others {
+                true => Some(send("/b/other").await),
+                false => None,
+            }
+        };
+        let (refused, other) = tokio::join!(send("/b/refused"), other);
+        responses.extend([Some(refused), other].into_iter().flatten());
     }
     expect_that!(broken_promises(&record, &responses), is_empty());
     let served = responses.iter().filter(|response| response.is_served());
@@ -202,32 +207,21 @@
     Ok(())
 }
 
+/// Guards against bookings that run twice because the repeated refusal of their first attempt is taken for
+/// the response to the second one, which has the same id.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_does_not_run_twice_when_the_refusal_of_its_first_attempt_is_repeated()
+-> eyre::Result<()> {
+    check_bookings(Naming { refusals: true, orders: true }, false).await
+}
+
 /// Guards against a repeated refusal that names no request and is taken for the response to the next one.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_refusal_without_an_id_is_not_taken_for_that_of_another_request()
 -> eyre::Result<()> {
-    let record = SharedRecord::default();
-    let naming = Naming { refusals: false, orders: true };
-    let (deployment, servers) = start(&record, 1, naming).await?;
-    let client = Client::new(HOST, "booking")?;
-    let daemon = deployment.daemons[0].caller_address;
-    let mut responses = Vec::new();
-    for key in 0..12 {
-        let send = |path| client.send(daemon, Method::POST, path, Some(key), DEADLINE);
-        // The second booking arrives while the first one waits for its second attempt.
-        let other = async {
-            sleep(SERVICE_TIME * 2).await;
-            send("/b/other").await
-        };
-        responses.extend(<[ClientResponse; 2]>::from(tokio::join!(send("/b/refused"), other)));
-    }
-    expect_that!(broken_promises(&record, &responses), is_empty());
-    let served = responses.iter().filter(|response| response.is_served());
-    expect_that!(served.count(), eq(responses.len()));
-    drop(servers);
-    clean_up(deployment);
-    Ok(())
+    check_bookings(Naming { refusals: false, orders: true }, true).await
 }
 
 /// Moves all keys of a server that repeats its responses to releases, and returns the record.
