Wait in a test until a daemon has written its log

The test now waits up to a second for the line, and 200 ms more for others, and still wants exactly one; so it is as strict as before.

--- a/tests/users_platform/handovers.rs
+++ b/tests/users_platform/handovers.rs
@@ -92,8 +92,16 @@
         let response = client.post(url).body("x").send().await?;
         expect_that!(response.status().as_u16(), eq(403));
     }
-    let lines = to.log().lines().filter(|line| line.contains("error=\"no member\"")).count();
-    expect_that!(lines, eq(1));
+    // Another thread of the daemon writes the log.
+    let lines = || to.log().lines().filter(|line| line.contains("error=\"no member\"")).count();
+    for _ in 0..100 {
+        if lines() > 0 {
+            break;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    sleep(Duration::from_millis(200)).await;
+    expect_that!(lines(), eq(1));
     clean_up(deployment);
     Ok(())
 }
