Log what a daemon knows of a cold server's limit when it sends a request there

Cause: the logs of the flooded servers can't tell a full bucket without demand from a wrong number of daemons or from old reports. Change: E4024 names the tokens, the demand, the daemons that share the limit, how many of them report, and the age of the oldest report. No decision changes.

--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -58,7 +58,7 @@
         latency_for_admission,
     },
     queue::{FairQueue, QueuedRequest, Ticket},
-    rate_limit::{ColdRate, GroupReport, RateReport, RequestCounts, SharedRateLimit},
+    rate_limit::{ColdRate, GroupReport, RateBasis, RateReport, RequestCounts, SharedRateLimit},
     reports::{GroupReports, ReportOrder},
     retry::{RetryBudget, RetryBudgets},
     route_work::{RouteWork, RouteWorks},
--- a/crates/oriolehoist_admission/src/peers.rs
+++ b/crates/oriolehoist_admission/src/peers.rs
@@ -69,10 +69,19 @@
 
     /// Returns how many daemons have reported lately.
     pub(crate) fn reporting(&self, now: Millis) -> usize {
+        self.fresh(now).map(|peer| peer.daemons as usize).sum()
+    }
+
+    /// Returns the age of the oldest of the reports that count.
+    pub(crate) fn oldest_report(&self, now: Millis) -> Millis {
+        self.fresh(now).map(|peer| now.since(peer.reported_at)).max().unwrap_or_default()
+    }
+
+    fn fresh(&self, now: Millis) -> impl Iterator<Item = &Peer> {
         let by_limit = self.by_limit_report.iter();
-        let by_limit = by_limit.filter(|(from, _)| !self.reports_cold(now, from));
+        let by_limit = by_limit.filter(move |(from, _)| !self.reports_cold(now, from));
         let peers = by_limit.map(|(_, peer)| peer).chain(self.by_cold_report.values());
-        peers.filter(|peer| peer.is_fresh(now)).map(|peer| peer.daemons as usize).sum()
+        peers.filter(move |peer| peer.is_fresh(now))
     }
 
     fn reports_cold(&self, now: Millis, from: &K) -> bool {
--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -1,5 +1,6 @@
 use {
     crate::peers::Peers,
+    derive_more::Display,
     oriolehoist_time::Millis,
     serde::{Deserialize, Serialize},
     std::hash::Hash,
@@ -115,6 +116,26 @@
     pub daemons: u32,
 }
 
+/// What a daemon's use of a server's limit is based on, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Display)]
+#[display(
+    "tokens={tokens:.2} demand={demand:.1} daemons={daemons} reporting={reporting} \
+     report_age_ms={}",
+    report_age.0
+)]
+pub struct RateBasis {
+    /// The tokens that are left.
+    pub tokens: f64,
+    /// Requests per second of all daemons.
+    pub demand: f64,
+    /// The number of daemons that share the limit.
+    pub daemons: usize,
+    /// How many of them have reported lately, with this daemon.
+    pub reporting: usize,
+    /// The age of the oldest report of these.
+    pub report_age: Millis,
+}
+
 /// Returns how many tokens there must be for a request of this rank.
 fn tokens_for(rank: u32) -> f64 {
     1.0 + TOKENS_PER_RANK * f64::from(rank.min(MAX_RANK))
@@ -219,6 +240,18 @@
         is_due.then_some(RateReport { limit: self.limit, age, counts: self.own })
     }
 
+    /// Returns what the use of the limit is based on.
+    pub fn basis(&mut self, now: Millis) -> RateBasis {
+        self.refill(now);
+        RateBasis {
+            tokens: self.tokens,
+            demand: self.demand,
+            daemons: self.daemons,
+            reporting: self.peers.reporting(now) + 1,
+            report_age: self.peers.oldest_report(now),
+        }
+    }
+
     /// Returns this daemon's requests to the server, for the other daemons, if it is cold.
     pub fn cold_counts(&self) -> Option<RequestCounts> {
         self.cold.map(|_| self.own)
--- a/crates/oriolehoist_edge/src/request/rate_limit.rs
+++ b/crates/oriolehoist_edge/src/request/rate_limit.rs
@@ -6,6 +6,7 @@
         process::Shared,
         request::{forward::RoutedRequest, refusal::Refusal},
     },
+    oriolehoist_log::{Event, report},
     oriolehoist_refusal::RefusalKind,
     oriolehoist_time::Millis,
 };
@@ -58,11 +59,20 @@
     let rank = request.view.rank(&request.route);
     let now = cx.clock.now();
     let mut availability = backend.availability();
-    let is_cold = availability.warm_up.cold_until(now).is_some();
+    let cold_until = availability.warm_up.cold_until(now);
+    let is_cold = cold_until.is_some();
+    let basis = cold_until.map(|until| (until.since(now).0, availability.rate_limit.basis(now)));
     let admitted = availability.rate_limit.try_take(now, rank, fastrand::f64());
-    if admitted.is_err() && is_cold {
-        let end = if request.key.is_some() { "refused" } else { "diverted" };
-        cx.metrics.on_warm_up_limit(end);
+    drop(availability);
+    match (admitted, basis) {
+        (Ok(()), Some((left, basis))) => {
+            let (id, server) = (request.id_text(), &backend.incarnation.id);
+            let text = format_args!("request={id} server={server} left_ms={left} {basis}");
+            report(Event::ColdServerUsed, text);
+        }
+        (Err(_), Some(_)) if request.key.is_some() => cx.metrics.on_warm_up_limit("refused"),
+        (Err(_), Some(_)) => cx.metrics.on_warm_up_limit("diverted"),
+        (_, None) => {}
     }
     admitted.map_err(|wait| refusal(wait, is_cold))
 }
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -149,6 +149,8 @@
     ResponseUnexpected = 4022, Info;
     /// A server said that it did not run a request.
     AttemptRefused = 4023, Debug;
+    /// A request is sent to a server that counts as cold.
+    ColdServerUsed = 4024, Info;
     /// A peer sent a malformed message.
     PeerMalformed = 5001, Warn;
 }
