--- a/tests/users_platform/load.rs
+++ b/tests/users_platform/load.rs
@@ -13,7 +13,10 @@
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
-    tokio::{task::JoinHandle, time::sleep},
+    tokio::{
+        task::JoinHandle,
+        time::{MissedTickBehavior, interval, sleep},
+    },
 };
 
 pub const SECOND: Duration = Duration::from_secs(1);
@@ -86,6 +89,31 @@
         Ok(Load { responses, task })
     }
 
+    /// Starts a load of requests without keys, so many a second in all, each to a daemon chosen at random.
+    pub fn start_without_keys(
+        daemons: Vec<SocketAddr>,
+        name: &str,
+        per_second: u32,
+    ) -> eyre::Result<Load> {
+        let client = Arc::new(Client::new(HOST, name)?);
+        let responses = Arc::new(Mutex::new(Vec::new()));
+        let collected = Arc::clone(&responses);
+        let task = tokio::spawn(async move {
+            let mut interval = interval(SECOND / per_second);
+            interval.set_missed_tick_behavior(MissedTickBehavior::Burst);
+            loop {
+                interval.tick().await;
+                let daemon = daemons[fastrand::usize(..daemons.len())];
+                let (client, collected) = (Arc::clone(&client), Arc::clone(&collected));
+                tokio::spawn(async move {
+                    let response = client.send(daemon, Method::GET, "/p/a", None, DEADLINE).await;
+                    collected.lock().expect("the lock is not poisoned").push((response, "/p/a"));
+                });
+            }
+        });
+        Ok(Load { responses, task })
+    }
+
     /// Stops the load, waits for the requests in flight, and returns all responses.
     pub async fn finish(self) -> Responses {
         self.task.abort();
@@ -141,6 +169,34 @@
     deployment.executed_requests().iter().filter(|run| is_late(run)).count()
 }
 
+/// A request that a server ran: when its caller sent it, and when the server started to run it.
+pub type SentAndRun = (Instant, Instant);
+
+/// Returns the requests that a server started to run between two moments.
+pub fn runs_with_sending_times(
+    deployment: &Deployment,
+    responses: &Responses,
+    server: &Server,
+    from: Instant,
+    until: Instant,
+) -> Vec<SentAndRun> {
+    let sent_at: HashMap<&str, Instant> =
+        responses.iter().map(|(response, _)| (response.id.as_str(), response.sent_at)).collect();
+    let runs = deployment.executed_requests().into_iter();
+    let runs = runs.filter(|run| run.server == server.id);
+    let runs = runs.filter(|run| (from..until).contains(&run.started_at));
+    runs.filter_map(|run| Some((*sent_at.get(run.request_id.as_str())?, run.started_at))).collect()
+}
+
+/// Returns the most requests that were sent by their callers and run within any second, so that those
+/// that waited anywhere are not counted.
+pub fn most_sent_and_run_in_a_second(runs: &[SentAndRun]) -> usize {
+    let within = |from: &Instant| {
+        runs.iter().filter(|(sent, run)| sent >= from && *run < *from + SECOND).count()
+    };
+    runs.iter().map(|(sent, _)| within(sent)).max().unwrap_or(0)
+}
+
 /// Returns the addresses at which the daemons listen for callers.
 pub fn caller_addresses(deployment: &Deployment) -> Vec<SocketAddr> {
     deployment.daemons.iter().map(|daemon| daemon.caller_address).collect()
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -4,6 +4,7 @@
 mod assigner;
 mod builds;
 mod callers_that_left;
+mod cold_fleet;
 mod cold_servers;
 mod endless_responses;
 mod evacuations;
