Show floods of cold servers in the simulation of a fleet

Cold servers that nobody could use for a while, daemons that restart together and don't know of each other, and reports that are late on each hop exceed the 17 requests in a second that are allowed. A health check sent before a server turned cold ends its stated warm-up at all daemons.

--- a/crates/oriolehoist_admission/tests/cold_servers/fleet.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/fleet.rs
@@ -20,6 +20,11 @@
 /// The time after which a report that has not changed is repeated.
 const REPEAT_INTERVAL: Millis = Millis(200);
 const REPORT_DELAY: Millis = Millis(20);
+/// The time that the daemons assume for a report to reach all of them, with and without relays.
+const RELAYED_DELAY: Millis = Millis(350);
+const DIRECT_DELAY: Millis = Millis(60);
+/// With more daemons than this and one, reports go by way of relays.
+const MAX_DIRECT: usize = 20;
 const MAX_LATENESS_MS: u64 = 1000;
 /// The time between two probes of a lost path.
 const PROBE_INTERVAL: Millis = Millis(500);
@@ -89,11 +94,15 @@
     /// Which daemons neither send nor receive reports.
     pub cut_off: Vec<bool>,
     /// From when on each daemon serves callers.
-    ready_at: Vec<Millis>,
+    pub ready_at: Vec<Millis>,
+    /// How many daemons each one knows of.
+    pub members: Vec<usize>,
     in_transit: BTreeMap<(Millis, u64), (usize, usize, usize, Message)>,
     sequence: u64,
     pub loss: f64,
     pub lateness: f64,
+    /// How much longer all reports to each daemon take at the moment.
+    pub lag: Vec<Millis>,
     pub random: Rng,
 }
 
@@ -113,10 +122,12 @@
             known,
             cut_off: vec![false; DAEMONS],
             ready_at: vec![Millis::ZERO; DAEMONS],
+            members: vec![DAEMONS; DAEMONS],
             in_transit: BTreeMap::new(),
             sequence: 0,
             loss: 0.1,
             lateness: 0.1,
+            lag: vec![Millis::ZERO; DAEMONS],
             random,
         }
     }
@@ -127,6 +138,7 @@
         for (server, known) in self.known[daemon].iter_mut().enumerate() {
             let heard_at = known.heard_at;
             *known = Known::new(self.policy, heard_at);
+            known.set_members(self.members[daemon]);
             if now >= heard_at {
                 known.has_heard = true;
                 let left = self.servers[server].cold_until().since(now);
@@ -135,6 +147,15 @@
         }
     }
 
+    /// Sets how many daemons one of them knows of. While there are none it exchanges no reports.
+    pub fn set_members(&mut self, daemon: usize, members: usize) {
+        self.members[daemon] = members;
+        self.cut_off[daemon] = members == 0;
+        for known in &mut self.known[daemon] {
+            known.set_members(members);
+        }
+    }
+
     pub fn run(&mut self, from: Millis, to: Millis) {
         for millis in from.0..to.0 {
             let now = Millis(millis);
@@ -224,7 +245,9 @@
         }
         known.has_heard = true;
         if self.servers[server].restarts {
-            let successor = Known { has_heard: true, ..Known::new(self.policy, known.heard_at) };
+            let mut successor =
+                Known { has_heard: true, ..Known::new(self.policy, known.heard_at) };
+            successor.set_members(self.members[daemon]);
             let predecessor = std::mem::replace(known, successor);
             known.availability.succeed(now, &predecessor.availability);
             known.availability.warm_up.presume(now, server as u32);
@@ -312,7 +335,7 @@
             false => Millis::ZERO,
         };
         self.sequence += 1;
-        let key = (now + REPORT_DELAY + late, self.sequence);
+        let key = (now + REPORT_DELAY + late + self.lag[to], self.sequence);
         self.in_transit.insert(key, (from, to, server, message));
     }
 
@@ -344,9 +367,7 @@
     fn new(policy: WarmUpPolicy, heard_at: Millis) -> Known {
         let mut availability = StatedAvailability::default();
         availability.warm_up.set_policy(Some(policy));
-        availability.rate_limit.set_daemons(DAEMONS);
-        availability.rate_limit.set_report_delay(Millis(350));
-        Known {
+        let mut known = Known {
             availability,
             probe_at: None,
             heard_at,
@@ -355,6 +376,14 @@
             order: ReportOrder::default(),
             reported_warm_up: None,
             sent: HashMap::new(),
-        }
+        };
+        known.set_members(DAEMONS);
+        known
+    }
+
+    fn set_members(&mut self, members: usize) {
+        let delay = if members > MAX_DIRECT + 1 { RELAYED_DELAY } else { DIRECT_DELAY };
+        self.availability.rate_limit.set_daemons(members);
+        self.availability.rate_limit.set_report_delay(delay);
     }
 }
--- /dev/null
+++ b/crates/oriolehoist_admission/tests/cold_servers/idle_servers.rs
@@ -0,0 +1,126 @@
+//! Cold servers that get no requests for a while, and then from all daemons at once.
+
+use {
+    crate::{
+        A, Counted,
+        fleet::{DAEMONS, Fleet, Server, WARM_UP, policy},
+        new_servers::NewServers,
+        serving_servers,
+    },
+    fastrand::Rng,
+    googletest::prelude::*,
+    oriolehoist_time::Millis,
+};
+
+const START: Millis = Millis(1000);
+const SEEDS: u64 = 8;
+
+/// Returns a service of which `count` servers turn cold at `START`, that have been there for long.
+fn service(count: usize, load: f64, seed: u64) -> NewServers {
+    let mut service = NewServers::new(count, START, load, seed).with_known_service_times();
+    service.arrival_ms = Some(2..51);
+    service
+}
+
+fn end_of(servers: &[Server]) -> Millis {
+    servers.iter().map(|server| server.back_at + WARM_UP).max().unwrap_or_default()
+}
+
+/// Plays a zone with 18 servers that turn cold this long before it is taken back.
+fn take_back_zone(load: f64, cold_for: u64, lag_ms: u64, seed: u64) -> (NewServers, Millis) {
+    let mut service = service(18, load, seed);
+    let mut random = Rng::with_seed(seed);
+    let taken_back_at = START + Millis(cold_for);
+    service.zone = Some(seed as usize % 4);
+    service.usable_from =
+        (0..DAEMONS).map(|_| taken_back_at + Millis(random.u64(0..150))).collect();
+    for daemon in 0..DAEMONS {
+        service.fleet.lag[daemon] = Millis(random.u64(0..=lag_ms));
+    }
+    service.run(Millis(500), end_of(&service.fleet.servers));
+    (service, taken_back_at)
+}
+
+/// Guards against daemons that find full buckets and a demand that has faded as a zone is taken back.
+#[gtest]
+fn cold_servers_of_a_zone_that_is_taken_back_are_not_flooded() {
+    for (load, lag_ms) in [(300.0, 0), (600.0, 0), (600.0, 200), (600.0, 400), (1200.0, 0)] {
+        let mut counted = Counted::default();
+        for (seed, cold_for) in (1..=SEEDS).flat_map(|seed| [(seed, 1500), (seed, 1700)]) {
+            let (service, taken_back_at) = take_back_zone(load, cold_for, lag_ms, seed);
+            counted.add(seed, &service.fleet.servers, taken_back_at);
+        }
+        counted.check(&format!("zone taken back, {load} a second, up to {lag_ms} ms late"), 2.0);
+    }
+}
+
+/// Guards against the same after a time in which all requests went to faster servers.
+#[gtest]
+fn cold_servers_that_no_request_chose_for_a_while_are_not_flooded() {
+    for (count, load) in [(1, 300.0), (1, 600.0), (3, 600.0), (12, 1200.0)] {
+        let mut counted = Counted::default();
+        for seed in 1..=(4 * SEEDS) / (count as u64).min(4) {
+            let mut service = service(count, load, seed);
+            let usual = std::mem::replace(&mut service.warm_latency_ms, 50..150);
+            let burst_at = START + Millis(1600);
+            service.run(Millis(500), burst_at);
+            service.warm_latency_ms = usual;
+            service.run(burst_at, end_of(&service.fleet.servers));
+            counted.add(seed, &service.fleet.servers, burst_at);
+        }
+        counted.check(&format!("{count} not chosen for a while, {load} a second"), 2.0);
+    }
+}
+
+/// Guards against the same after a time without any requests to the service.
+#[gtest]
+fn cold_servers_of_a_service_without_requests_are_not_flooded_by_a_burst() {
+    for (count, load) in [(1, 300.0), (3, 600.0), (12, 1200.0)] {
+        let mut counted = Counted::default();
+        for seed in 1..=(4 * SEEDS) / (count as u64).min(4) {
+            let mut service = service(count, 0.0, seed);
+            let burst_at = START + Millis(1600);
+            service.run(Millis(500), burst_at);
+            service.load = load;
+            service.run(burst_at, end_of(&service.fleet.servers));
+            counted.add(seed, &service.fleet.servers, burst_at);
+        }
+        counted.check(&format!("{count} after a pause, {load} a second"), 2.0);
+    }
+}
+
+/// Guards against the same if only few servers of a small service are left besides the cold ones.
+#[gtest]
+fn cold_servers_of_a_small_service_are_not_flooded_by_a_burst() {
+    for (count, size, load) in [(3, 9, 300.0), (3, 9, 600.0), (1, 3, 300.0), (1, 3, 600.0)] {
+        let mut counted = Counted::default();
+        for seed in 1..=4 * SEEDS {
+            let mut service = service(count, load, seed);
+            service.size = size;
+            let usable_from = START + Millis(1600);
+            service.usable_from.fill(usable_from);
+            service.run(Millis(500), end_of(&service.fleet.servers));
+            counted.add(seed, &service.fleet.servers, usable_from);
+        }
+        counted.check(&format!("{count} of {size} back, {load} a second"), 2.0);
+    }
+}
+
+/// Guards against the same for requests that can go to no other server.
+#[gtest]
+fn cold_servers_with_keys_are_not_flooded_by_a_burst_after_a_pause() {
+    for demand in [30.0, 100.0, 300.0] {
+        let mut counted = Counted::default();
+        for seed in 1..=4 {
+            let mut servers = serving_servers(&mut Rng::with_seed(seed), WARM_UP);
+            servers.iter_mut().for_each(|server| server.demand = 0.0);
+            let mut fleet = Fleet::new(servers, policy(A.0), seed);
+            let burst_at = Millis(5800);
+            fleet.run(Millis(3500), burst_at);
+            fleet.servers.iter_mut().for_each(|server| server.demand = demand);
+            fleet.run(burst_at, end_of(&fleet.servers));
+            counted.add(seed, &fleet.servers, burst_at);
+        }
+        counted.check(&format!("{demand} a second each after a pause"), 2.0);
+    }
+}
--- a/crates/oriolehoist_admission/tests/cold_servers/main.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/main.rs
@@ -1,7 +1,10 @@
 //! The rate of requests to cold servers, over all daemons of a large fleet.
 
 mod fleet;
+mod idle_servers;
+mod late_reports;
 mod new_servers;
+mod restarted_daemons;
 
 use {
     crate::{
@@ -203,6 +206,50 @@
     expect_that!(near * 50, le(all.len()), "{near} of {} near the bound", all.len());
 }
 
+/// What was counted of the cold servers of one scenario.
+#[derive(Default)]
+struct Counted {
+    most: Vec<usize>,
+    requests: usize,
+    seconds: f64,
+    /// The seeds with more requests in a second than are allowed.
+    exceeding: Vec<u64>,
+}
+
+impl Counted {
+    /// Counts the requests that reached the servers while they were cold, from `from` on.
+    fn add(&mut self, seed: u64, servers: &[Server], from: Millis) {
+        let most: Vec<usize> =
+            servers.iter().map(|server| most_in_a_second(server, Millis::ZERO)).collect();
+        if most.iter().any(|most| *most > A.1) && self.exceeding.last() != Some(&seed) {
+            self.exceeding.push(seed);
+        }
+        self.most.extend(most);
+        for server in servers {
+            let from = from.max(server.back_at);
+            let until = server.back_at + server.warm_up;
+            let reached = server.reached.iter().filter(|at| (from..until).contains(at));
+            self.requests += reached.count();
+            self.seconds += until.since(from).0 as f64 / 1000.0;
+        }
+    }
+
+    /// Checks that no server got too many requests, and that they got at least `min_rate` a second.
+    fn check(&self, name: &str, min_rate: f64) {
+        let rate = self.requests as f64 / self.seconds;
+        let exceeding = self.most.iter().filter(|most| **most > A.1).count();
+        println!(
+            "{name}: {:?}, rate {rate:.2}, {exceeding} of {} servers exceed {}, seeds {:?}",
+            occurrences(&self.most),
+            self.most.len(),
+            A.1,
+            self.exceeding
+        );
+        expect_that!(exceeding, eq(0), "{name}, seeds {:?}", self.exceeding);
+        expect_that!(rate, ge(min_rate), "{name}");
+    }
+}
+
 /// Returns how often each value occurs.
 fn occurrences(values: &[usize]) -> BTreeMap<usize, usize> {
     values.iter().fold(BTreeMap::new(), |mut occurrences, value| {
--- a/crates/oriolehoist_admission/tests/cold_servers/new_servers.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/new_servers.rs
@@ -44,7 +44,17 @@
     events: BTreeMap<(Millis, u64), Event>,
     sequence: u64,
     /// The requests per second of all callers.
-    load: f64,
+    pub load: f64,
+    /// The servers of the service.
+    pub size: usize,
+    /// The zone that all the new servers are in, or `None` if they are spread over all.
+    pub zone: Option<usize>,
+    /// From when on each daemon may send requests to the new servers.
+    pub usable_from: Vec<Millis>,
+    /// The latencies that are expected of the other servers.
+    pub warm_latency_ms: Range<u64>,
+    /// How long each request takes to a new server, in milliseconds, or `None` for the usual time.
+    pub arrival_ms: Option<Range<u64>>,
 }
 
 struct Candidate {
@@ -97,6 +107,35 @@
             events: BTreeMap::new(),
             sequence: 0,
             load,
+            size: SERVERS,
+            zone: None,
+            usable_from: vec![Millis::ZERO; DAEMONS],
+            warm_latency_ms: WARM_LATENCY_MS,
+            arrival_ms: None,
+        }
+    }
+
+    /// Takes the servers for ones that have been there for long, and have become cold again.
+    pub fn with_known_service_times(mut self) -> NewServers {
+        for estimator in self.estimators.iter_mut().flatten() {
+            estimator.on_pooled_service_time(Millis::from_secs(60), WORK_MS);
+        }
+        self
+    }
+
+    /// Replaces a daemon by one that has just started, and measures service times anew.
+    pub fn restart(&mut self, daemon: usize, now: Millis) {
+        self.fleet.restart(daemon, now);
+        for estimator in &mut self.estimators[daemon] {
+            *estimator = LoadEstimator::new(SLOTS as u32, Millis((2.0 * WORK_MS) as u64));
+        }
+    }
+
+    fn zone_of(&self, server: usize) -> usize {
+        match self.zone {
+            None => server % ZONES,
+            Some(zone) if server < self.fleet.servers.len() => zone,
+            Some(zone) => (zone + 1 + server % (ZONES - 1)) % ZONES,
         }
     }
 
@@ -152,13 +191,18 @@
     fn forward(&mut self, now: Millis) {
         let daemon = self.fleet.random.usize(..DAEMONS);
         let rank = if self.fleet.random.f64() < URGENT { 0 } else { 2 };
+        if now < self.fleet.ready_at[daemon] {
+            return;
+        }
         let mut saturated = Vec::new();
         loop {
             let mut candidates = Vec::new();
             for server in 0..self.fleet.servers.len() {
+                let zone = self.zone_of(server);
                 let known = &mut self.fleet.known[daemon][server];
                 known.availability.refresh(now);
                 if known.has_heard
+                    && now >= self.usable_from[daemon]
                     && !saturated.contains(&server)
                     && known.availability.wait(now, rank) == Millis::ZERO
                 {
@@ -166,20 +210,21 @@
                     candidates.push(Candidate {
                         server: Some(server),
                         latency: estimator.expected_latency(now),
-                        is_local: server % ZONES == daemon % ZONES,
+                        is_local: zone == daemon % ZONES,
                         is_untried: estimator.is_untried(),
                     });
                 }
             }
-            for other in self.fleet.servers.len()..SERVERS {
+            for other in self.fleet.servers.len()..self.size {
                 candidates.push(Candidate {
                     server: None,
-                    latency: Millis(self.fleet.random.u64(WARM_LATENCY_MS)),
-                    is_local: other % ZONES == daemon % ZONES,
+                    latency: Millis(self.fleet.random.u64(self.warm_latency_ms.clone())),
+                    is_local: self.zone_of(other) == daemon % ZONES,
                     is_untried: false,
                 });
             }
-            let chosen = choose_server(&candidates, DAEMONS, &mut self.fleet.random);
+            let chosen =
+                choose_server(&candidates, self.fleet.members[daemon], &mut self.fleet.random);
             let Some(server) = chosen.and_then(|chosen| candidates[chosen].server) else { return };
             let chance = self.fleet.random.f64();
             let rate_limit = &mut self.fleet.known[daemon][server].availability.rate_limit;
@@ -196,7 +241,10 @@
         let random = &mut self.fleet.random;
         let connecting = if random.bool() { random.u64(4..9) } else { 0 };
         let waiting = if random.f64() < 0.1 { random.u64(..40) } else { 0 };
-        let arrives_at = now + Millis(2 + connecting + waiting);
+        let arrives_at = match self.arrival_ms.clone() {
+            Some(arrival_ms) => now + Millis(random.u64(arrival_ms)),
+            None => now + Millis(2 + connecting + waiting),
+        };
         let work = WORK_MS * (0.5 + random.f64());
         let cold = &mut self.fleet.servers[server];
         cold.reached.push(arrives_at);
--- a/crates/oriolehoist_admission/tests/warm_up.rs
+++ b/crates/oriolehoist_admission/tests/warm_up.rs
@@ -53,6 +53,40 @@
     expect_that!(is_cold(&warm_up, 1200), eq(false));
 }
 
+/// Guards against the response to a health check that was sent before the server turned cold, and arrives
+/// after its registration. Of both it is known only when they were made at the earliest.
+#[gtest]
+fn a_health_check_from_before_the_server_turned_cold_does_not_end_that_for_all_daemons() {
+    let (mut here, mut there) = (warm_up(), warm_up());
+    let event = 7;
+    // The server turned cold at some time between 700 and 1600, and the check was answered in it, too.
+    here.on_statement(Millis(1600), Millis(700), Millis(2800), event);
+    there.on_statement(Millis(1600), Millis(700), Millis(2800), event);
+    here.on_statement(Millis(1610), Millis(800), Millis::ZERO, 8);
+    expect_that!(is_cold(&here, 1610), eq(true));
+    if let Some(report) = here.report(Millis(1640)) {
+        there.on_report(Millis(1660), report);
+    }
+    expect_that!(is_cold(&there, 1660), eq(true));
+    // One that was sent after the registration was known does.
+    here.on_statement(Millis(1700), Millis(1605), Millis::ZERO, 9);
+    expect_that!(is_cold(&here, 1700), eq(false));
+}
+
+/// Guards against the same after a presumption, which ends only by what the server says of a later time.
+#[gtest]
+fn a_health_check_from_before_a_presumption_does_not_end_it_for_all_daemons() {
+    let (mut here, mut there) = (warm_up(), warm_up());
+    here.presume(Millis(1000), 7);
+    there.presume(Millis(1000), 7);
+    here.on_statement(Millis(1100), Millis(990), Millis::ZERO, 8);
+    expect_that!(is_cold(&here, 1100), eq(true));
+    if let Some(report) = here.report(Millis(1140)) {
+        there.on_report(Millis(1160), report);
+    }
+    expect_that!(is_cold(&there, 1160), eq(true));
+}
+
 #[gtest]
 fn without_a_policy_no_server_is_cold() {
     let mut warm_up = WarmUp::default();
