Let daemons that do not know the size of the fleet leave cold servers alone

What callers saw: after a restart of all daemons, or most, cold servers got up to 170 requests in a second, 11 allowed (80 real daemons, 600 requests a second). Cause: a daemon divided the limit that all share by the members that it had heard of, and took none for a fleet of one. Of 457 tokens in the second after a restart of all, 442 were taken by daemons that knew no other one. The assigner counted only those that respond, so the number was too low for a while after that, too. Change: FleetSize, without I/O: the largest number of registered daemons of the last 30 s. The assigner passes it on with each message (fleet_size, optional on the wire). While it is not known, a server with a limit gets next to nothing, no health checks are made of servers that are presumed to be cold, and connection limits stay as they are; retries and trial requests are as few as in the largest fleet. Calls to the store are paced as before. Why it works: no daemon takes silence of the others for room. The number comes from the store, in which registrations outlive a restart by up to 60 s. Simulation and limiter now say whether the size is known, not how many respond.

--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -26,6 +26,11 @@
 /// The time until a daemon knows of a request that another one has sent, if they report to each other:
 /// one interval between reports, and their way.
 const REPORT_DELAY: Millis = Millis(60);
+/// The size that is assumed of a fleet whose size is not known: each daemon then uses a small part of a limit,
+/// as the others may use theirs.
+const UNKNOWN_FLEET: usize = 1000;
+/// When a request may come back that was refused while the size of the fleet was not known.
+const UNKNOWN_FLEET_RETRY: Millis = Millis(1000);
 /// The first request after a server named a limit may be sent at once if the server takes as many
 /// requests as there are daemons within this time, in seconds.
 const FIRST_REQUESTS_SECONDS: f64 = 5.0;
@@ -71,8 +76,8 @@
     updated_at: Millis,
     /// This daemon's requests since it first knew of a limit.
     own: RequestCounts,
-    /// The number of daemons that share the limit.
-    daemons: usize,
+    /// The number of daemons that share the limit, or `None` if it is not known.
+    daemons: Option<usize>,
     /// The time until a daemon knows of a request that another one has sent.
     report_delay: Millis,
     peers: Peers<K>,
@@ -119,8 +124,9 @@
 /// What a daemon's use of a server's limit is based on, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Display)]
 #[display(
-    "tokens={tokens:.2} demand={demand:.1} daemons={daemons} reporting={reporting} \
+    "tokens={tokens:.2} demand={demand:.1} daemons={} reporting={reporting} \
      report_age_ms={}",
+    daemons.unwrap_or_default(),
     report_age.0
 )]
 pub struct RateBasis {
@@ -128,8 +134,8 @@
     pub tokens: f64,
     /// Requests per second of all daemons.
     pub demand: f64,
-    /// The number of daemons that share the limit.
-    pub daemons: usize,
+    /// The number of daemons that share the limit, if it is known.
+    pub daemons: Option<usize>,
     /// How many of them have reported lately, with this daemon.
     pub reporting: usize,
     /// The age of the oldest report of these.
@@ -154,7 +160,7 @@
             needed: tokens_for(MAX_RANK),
             updated_at: Millis::ZERO,
             own: RequestCounts::default(),
-            daemons: 1,
+            daemons: None,
             report_delay: REPORT_DELAY,
             peers: Peers::default(),
         }
@@ -162,9 +168,10 @@
 }
 
 impl<K: Eq + Hash> SharedRateLimit<K> {
-    /// Sets the number of daemons that share the limit.
-    pub fn set_daemons(&mut self, daemons: usize) {
-        self.daemons = daemons.max(1);
+    /// Sets the number of daemons that share the limit, with those that are not heard of, or `None` if it
+    /// is not known.
+    pub fn set_daemons(&mut self, daemons: Option<usize>) {
+        self.daemons = daemons;
     }
 
     /// Sets the time until a daemon knows of a request that another one has sent.
@@ -263,11 +270,10 @@
         let Some(rate) = self.rate(now) else { return Millis::ZERO };
         self.refill(now);
         let missing = tokens_for(rank) - self.tokens;
+        let seconds = missing / rate + self.promised / (rate * self.own_share());
         match missing > 0.0 {
-            true => {
-                let seconds = missing / rate + self.promised / (rate * self.own_share());
-                Millis((seconds * 1000.0).ceil() as u64)
-            }
+            true if self.daemons.is_none() => UNKNOWN_FLEET_RETRY,
+            true => Millis((seconds * 1000.0).ceil() as u64),
             false => Millis::ZERO,
         }
     }
@@ -303,7 +309,8 @@
             return Ok(());
         }
         self.promised += 1.0;
-        Err(wait.max(Millis((1000.0 / rate) as u64)))
+        let interval = Millis((1000.0 / rate) as u64);
+        Err(wait.max(if self.daemons.is_some() { interval } else { UNKNOWN_FLEET_RETRY }))
     }
 
     /// Counts a request that is sent whether there is a token for it or not.
@@ -322,7 +329,8 @@
         }
         if self.limit().is_none() {
             // Many daemons that learn of the limit would each send a request.
-            let are_few = self.daemons as f64 <= limit.unwrap_or_default() * FIRST_REQUESTS_SECONDS;
+            let few = limit.unwrap_or_default() * FIRST_REQUESTS_SECONDS;
+            let are_few = self.daemons.is_some_and(|daemons| daemons as f64 <= few);
             self.restart(now, if are_few { 1.0 } else { 0.0 });
         }
         self.limit = limit;
@@ -353,9 +361,9 @@
     /// Returns the rate that this daemon shares with those that report.
     fn rate(&self, now: Millis) -> Option<f64> {
         let limit = self.limit()?.max(MIN_RATE);
-        let reporting = self.peers.reporting(now) + 1;
-        let reporting = reporting.min(self.daemons.max(1));
-        Some(limit * reporting as f64 / self.daemons.max(reporting) as f64)
+        let daemons = self.daemons.unwrap_or(UNKNOWN_FLEET).max(1);
+        let reporting = (self.peers.reporting(now) + 1).min(daemons);
+        Some(limit * reporting as f64 / daemons as f64)
     }
 
     fn refill(&mut self, now: Millis) {
--- a/crates/oriolehoist_admission/src/warm_up.rs
+++ b/crates/oriolehoist_admission/src/warm_up.rs
@@ -277,8 +277,10 @@
 
     /// Returns whether this daemon should ask the server now whether it is cold, which happens at most
     /// once for each event. `chance` is a random number below one that spreads the checks of
-    /// `daemons` over time, as the outcome of the first one is told to the others.
-    pub fn take_due_check(&mut self, now: Millis, daemons: usize, chance: f64) -> bool {
+    /// `daemons` over time, as the outcome of the first one is told to the others. While their number is
+    /// not known, none asks.
+    pub fn take_due_check(&mut self, now: Millis, daemons: Option<usize>, chance: f64) -> bool {
+        let Some(daemons) = daemons else { return false };
         let presumption = self.presumption.filter(|_| self.is_presumed(now));
         let Some(Presumption { event, state: Presumed::Until(until), .. }) = presumption else {
             return false;
--- a/crates/oriolehoist_admission/tests/cold_servers/fleet.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/fleet.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Returns the size of the fleet that a daemon counts with when it tries new servers.
+    pub fn size_known_to(&self, daemon: usize) -> usize {
+        if self.members[daemon] > 0 { DAEMONS } else { usize::MAX }
+    }
+
     /// Sets how many daemons one of them knows of. While there are none it exchanges no reports.
     pub fn set_members(&mut self, daemon: usize, members: usize) {
         self.members[daemon] = members;
@@ -225,7 +230,7 @@
             let known = &mut self.known[daemon][server];
             known.availability.refresh(now);
             let chance = self.random.f64();
-            if known.availability.warm_up.take_due_check(now, DAEMONS, chance) {
+            if known.availability.warm_up.take_due_check(now, Some(DAEMONS), chance) {
                 known.availability.rate_limit.count_sent(now);
                 self.reach(now, daemon, server);
                 self.answer_check(now, daemon, server);
@@ -382,8 +387,13 @@
     }
 
     fn set_members(&mut self, members: usize) {
-        let delay = if members > MAX_DIRECT + 1 { RELAYED_DELAY } else { DIRECT_DELAY };
-        self.availability.rate_limit.set_daemons(members);
+        // The first message of the assigner has the number of registered daemons, whoever responds to it.
+        let size = (members > 0).then_some(DAEMONS);
+        let delay = match size {
+            Some(size) if size <= MAX_DIRECT + 1 => DIRECT_DELAY,
+            _ => RELAYED_DELAY,
+        };
+        self.availability.rate_limit.set_daemons(size);
         self.availability.rate_limit.set_report_delay(delay);
     }
 }
--- a/crates/oriolehoist_admission/tests/cold_servers/new_servers.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/new_servers.rs
@@ -223,8 +223,11 @@
                     is_untried: false,
                 });
             }
-            let chosen =
-                choose_server(&candidates, self.fleet.members[daemon], &mut self.fleet.random);
+            let chosen = choose_server(
+                &candidates,
+                self.fleet.size_known_to(daemon),
+                &mut self.fleet.random,
+            );
             let Some(server) = chosen.and_then(|chosen| candidates[chosen].server) else { return };
             let chance = self.fleet.random.f64();
             let rate_limit = &mut self.fleet.known[daemon][server].availability.rate_limit;
--- a/crates/oriolehoist_admission/tests/rate_limit.rs
+++ b/crates/oriolehoist_admission/tests/rate_limit.rs
@@ -34,7 +34,7 @@
     fn new(daemons: usize, report_loss: f64, seed: u64) -> Simulation {
         let mut limits = vec![SharedRateLimit::default(); daemons];
         for limit in &mut limits {
-            limit.set_daemons(daemons);
+            limit.set_daemons(Some(daemons));
         }
         let random = Rng::with_seed(seed);
         Simulation { daemons: limits, reports: VecDeque::new(), report_loss, random }
@@ -162,7 +162,7 @@
         let mut random = Rng::with_seed(9);
         let mut daemons = vec![SharedRateLimit::<usize>::default(); DAEMONS];
         for daemon in &mut daemons {
-            daemon.set_daemons(DAEMONS);
+            daemon.set_daemons(Some(DAEMONS));
             daemon.set_report_delay(Millis(350));
         }
         // What each relay, the first of its group, has received.
@@ -247,6 +247,7 @@
 #[gtest]
 fn a_limit_of_zero_does_not_last_for_good() {
     let mut limit = SharedRateLimit::<usize>::default();
+    limit.set_daemons(Some(1));
     limit.on_response(Millis(100), Millis(50), Some(0.0));
     let admitted =
         (100..60_000).step_by(10).filter(|millis| limit.try_take(Millis(*millis), 0, 0.0).is_ok());
@@ -257,6 +258,7 @@
 #[gtest]
 fn urgent_requests_find_tokens_that_others_leave() {
     let mut limit = SharedRateLimit::<usize>::default();
+    limit.set_daemons(Some(1));
     limit.on_response(Millis(100), Millis(50), Some(4.0));
     let mut admitted = [0, 0];
     for millis in (100..20_100).step_by(50) {
@@ -274,6 +276,7 @@
 #[gtest]
 fn the_time_to_come_back_grows_with_the_callers_that_were_told_one() {
     let mut limit = SharedRateLimit::<usize>::default();
+    limit.set_daemons(Some(1));
     limit.on_response(Millis(100), Millis(50), Some(4.0));
     expect_that!(limit.try_take(Millis(100), 0, 0.0), ok(eq(())));
     let waits: Vec<u64> = (0..4)
@@ -288,7 +291,7 @@
 #[gtest]
 fn daemons_together_promise_no_more_tokens_than_there_will_be() {
     let mut limit = SharedRateLimit::<usize>::default();
-    limit.set_daemons(2);
+    limit.set_daemons(Some(2));
     limit.on_response(Millis(100), Millis(50), Some(4.0));
     let report = |asked| RateReport {
         limit: Some(4.0),
@@ -309,7 +312,7 @@
 #[gtest]
 fn requests_of_a_daemon_that_was_restarted_are_counted() {
     let mut limit = SharedRateLimit::<usize>::default();
-    limit.set_daemons(2);
+    limit.set_daemons(Some(2));
     let report = |sent| RateReport {
         limit: Some(4.0),
         age: Millis(10),
@@ -328,7 +331,7 @@
 #[gtest]
 fn counts_of_two_kinds_of_reports_are_not_compared_with_each_other() {
     let mut limit = SharedRateLimit::<usize>::default();
-    limit.set_daemons(24);
+    limit.set_daemons(Some(24));
     limit.set_report_delay(Millis(350));
     limit.set_cold(Millis(1000), Some(ColdRate { per_second: 9.0, burst: 3.0 }));
     let mut now = Millis(1000);
@@ -348,7 +351,7 @@
 #[gtest]
 fn counts_of_reports_of_limits_count_without_reports_of_cold_servers() {
     let mut limit = SharedRateLimit::<usize>::default();
-    limit.set_daemons(2);
+    limit.set_daemons(Some(2));
     limit.set_cold(Millis(1000), Some(ColdRate { per_second: 9.0, burst: 3.0 }));
     let report = |sent| RateReport {
         limit: None,
@@ -361,3 +364,28 @@
     limit.on_report(Millis(1950), 0, report(9));
     expect_that!(limit.wait(Millis(1950), 0), gt(Millis::ZERO));
 }
+
+/// Guards against a fleet that is restarted at once, in which each daemon uses the whole limit.
+#[gtest]
+fn daemons_that_do_not_know_the_size_of_the_fleet_leave_a_cold_server_alone() {
+    let cold = ColdRate { per_second: 9.0, burst: 3.0 };
+    let mut daemons = vec![SharedRateLimit::<usize>::default(); 82];
+    let (mut sent, mut longest_wait) = (0, None);
+    for now in (0..3000).step_by(10).map(Millis) {
+        for limit in &mut daemons {
+            limit.set_cold(now, Some(cold));
+            let taken = limit.try_take(now, 0, 0.5);
+            sent += usize::from(taken.is_ok());
+            longest_wait = taken.err().max(longest_wait);
+        }
+    }
+    expect_that!(sent, eq(0));
+    expect_that!(longest_wait, some(le(Millis::from_secs(1))));
+    // Alone in its fleet, a daemon uses the whole limit.
+    let limit = &mut daemons[0];
+    limit.set_daemons(Some(1));
+    let alone = (3000..6000).step_by(10).map(Millis);
+    let mut random = fastrand::Rng::with_seed(46);
+    let alone = alone.filter(|now| limit.try_take(*now, 0, random.f64()).is_ok()).count();
+    expect_that!(alone, all![ge(14), le(30)]);
+}
--- a/crates/oriolehoist_admission/tests/warm_up.rs
+++ b/crates/oriolehoist_admission/tests/warm_up.rs
@@ -212,7 +212,7 @@
         let mut asked = Vec::new();
         for now in (1000..4000).step_by(100) {
             for daemon in &mut daemons {
-                if daemon.take_due_check(Millis(now), DAEMONS, random.f64()) {
+                if daemon.take_due_check(Millis(now), Some(DAEMONS), random.f64()) {
                     asked.push(now);
                 }
             }
@@ -230,7 +230,7 @@
     let mut warm_up = warm_up();
     let asks = |warm_up: &mut WarmUp, from: u64| {
         let times = (from..from + 2000).step_by(100);
-        times.filter(|now| warm_up.take_due_check(Millis(*now), 1, 0.5)).count()
+        times.filter(|now| warm_up.take_due_check(Millis(*now), Some(1), 0.5)).count()
     };
     warm_up.presume(Millis(1000), 1);
     expect_that!(asks(&mut warm_up, 1000), eq(1));
--- a/crates/oriolehoist_edge/src/connection/backend_warm_up.rs
+++ b/crates/oriolehoist_edge/src/connection/backend_warm_up.rs
@@ -26,10 +26,11 @@
 }
 
 impl Backend {
-    /// Sets what the limits on the server's request rate depend on.
+    /// Sets what the limits on the server's request rate depend on. `daemons` is the size of the fleet, if it
+    /// is known.
     pub(crate) fn set_rate_context(
         &self,
-        daemons: usize,
+        daemons: Option<usize>,
         report_delay: Millis,
         policy: Option<WarmUpPolicy>,
     ) {
--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -247,6 +247,9 @@
     fn update_members(&mut self) {
         let now = self.now();
         let Role::Assigner(_) = &self.role else { return };
+        if self.state.observe_fleet(now, self.registered_members.len()) {
+            self.state.publish(&self.cx);
+        }
         let mut members = self.registered_members.clone();
         members.retain(|member| {
             member.is_same_run(&self.local)
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -8,7 +8,7 @@
     bytes::Bytes,
     oriolehoist_admission::WarmUpPolicy,
     oriolehoist_evacuation::EvacuatedZones,
-    oriolehoist_fleet::MAX_DIRECT,
+    oriolehoist_fleet::{FleetSize, MAX_DIRECT},
     oriolehoist_keyspace::{KeyRoutes, RoutedRange, ServerIncarnation},
     oriolehoist_log::{Event, report},
     oriolehoist_port::{
@@ -29,6 +29,8 @@
 /// The fraction of a server's connections that the daemons share for requests. The rest is reserved
 /// for orders.
 const CONNECTION_FRACTION: f64 = 0.85;
+/// The most daemons, with this one, that send each other their reports without relays.
+const MAX_DIRECT_FLEET: usize = MAX_DIRECT + 1;
 /// How long the news of a request to a server with a limit takes to reach the other daemons.
 const DIRECT_REPORT_DELAY: Millis = Millis(60);
 /// The same by way of relays: three intervals between messages.
@@ -71,6 +73,8 @@
     key_routes: BTreeMap<SmolStr, KeyRoutes>,
     pub(crate) members: ReplicatedMap<SmolStr, Member>,
     pub(crate) evacuations: EvacuatedZones,
+    /// The number of daemons, with those that don't respond.
+    fleet: FleetSize,
     backends: Backends,
 }
 
@@ -329,22 +333,34 @@
         config.services.iter().all(|(name, spec)| !spec.sharded || assigned(name))
     }
 
+    /// Records the number of registered daemons. Returns whether that changes the size that shared limits
+    /// are divided by.
+    pub(super) fn observe_fleet(&mut self, now: Millis, daemons: usize) -> bool {
+        let before = self.fleet.get(now);
+        self.fleet.observe(now, daemons);
+        before != self.fleet.get(now)
+    }
+
+    /// Returns the number of daemons, if it is known, for the other ones.
+    pub(super) fn fleet_size(&self, now: Millis) -> Option<u32> {
+        self.fleet.get(now).and_then(|size| u32::try_from(size).ok())
+    }
+
     /// Publishes a new view for the request path.
     pub(crate) fn publish(&mut self, cx: &Shared) {
         let Some(config) = &self.config else { return };
         let backends =
             self.backends.update(cx.backend_context(), &self.servers, &self.draining_since);
-        let daemon_count = self.members.get().len();
-        let report_delay = match daemon_count > MAX_DIRECT + 1 {
-            true => RELAYED_REPORT_DELAY,
-            false => DIRECT_REPORT_DELAY,
+        let fleet_size = self.fleet.get(cx.clock.now());
+        let report_delay = match fleet_size {
+            Some(0..=MAX_DIRECT_FLEET) => DIRECT_REPORT_DELAY,
+            _ => RELAYED_REPORT_DELAY,
         };
         let mut services: HashMap<SmolStr, Vec<_>> = HashMap::new();
         for entry in &self.servers {
             let Some(backend) = backends.get(&entry.id) else { continue };
-            if let Some(spec) = config.services.get(&entry.service) {
-                let limit = f64::from(spec.max_connections) * CONNECTION_FRACTION
-                    / daemon_count.max(1) as f64;
+            if let (Some(spec), Some(daemons)) = (config.services.get(&entry.service), fleet_size) {
+                let limit = f64::from(spec.max_connections) * CONNECTION_FRACTION / daemons as f64;
                 backend.set_connection_limit(limit as u32);
             }
             let sharded = config.services.get(&entry.service).is_some_and(|spec| spec.sharded);
@@ -354,7 +370,7 @@
             let spec = config.services.get(&entry.service);
             let policy = spec.and_then(|spec| spec.server_warm_up);
             let policy = policy.map(|warm_up| warm_up_policy(&cx.bootstrap.bounds, warm_up));
-            backend.set_rate_context(daemon_count, report_delay, policy);
+            backend.set_rate_context(fleet_size, report_delay, policy);
             if entry.state == ServerState::Ready {
                 services.entry(entry.service.clone()).or_default().push(Arc::clone(backend));
             }
@@ -380,7 +396,7 @@
             services,
             key_routes: self.key_routes.clone(),
             evacuated_zones: self.evacuations.names().clone(),
-            daemon_count,
+            fleet_size,
             peer_addresses,
             handover_peers,
             routes_version: format!("{}.{}", version.term, version.count),
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -107,6 +107,10 @@
         if let Some(update) = sync.members {
             changed |= self.state.members.apply(update);
         }
+        // Older versions name only the daemons that respond.
+        let members = self.state.members.get().len();
+        let size = sync.fleet_size.map_or(members, |size| size as usize);
+        changed |= self.state.observe_fleet(self.now(), size);
         if changed {
             self.state.publish(&self.cx);
         }
@@ -132,6 +136,7 @@
             evacuations: state.evacuations.news(self.now(), None),
             store: Some(self.cx.store_news(true)),
             server_speeds: self.speeds.due(self.now(), &mut Cursor::default()),
+            fleet_size: state.fleet_size(self.now()),
             config: state.config.as_ref().map(|_| state.config_bytes.clone()),
             servers: Some(state.registry.changes_since(self.now(), Revision::default())),
             routes: Some(state.routes.update_since(TermVersion::default())),
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -313,14 +313,12 @@
     }
 
     fn with_retry_budget<T>(&self, service: &SmolStr, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let capacity = match self.view.load().map_or(0, |view| view.daemon_count) {
-            // The number of daemons that share the budget is not known yet, so only a minimum is
-            // used.
-            0 => MIN_RETRY_SLACK,
-            daemon_count => {
+        let capacity = match self.view.load().and_then(|view| view.fleet_size) {
+            None => MIN_RETRY_SLACK,
+            Some(daemons) => {
                 let slack =
                     f64::from(self.bootstrap.bounds.retry_budget_slack) * RETRY_BUDGET_FACTOR;
-                ((slack / daemon_count as f64) as u64).max(MIN_RETRY_SLACK)
+                ((slack / daemons as f64) as u64).max(MIN_RETRY_SLACK)
             }
         };
         f(lock(&self.retry_budgets).get_or_create(service, capacity))
--- a/crates/oriolehoist_edge/src/process/store_calls.rs
+++ b/crates/oriolehoist_edge/src/process/store_calls.rs
@@ -92,7 +92,7 @@
 
     /// Returns how many daemons share the calls.
     fn daemon_count(&self) -> u32 {
-        let count = self.view.load().map_or(1, |view| view.daemon_count);
+        let count = self.view.load().and_then(|view| view.fleet_size).unwrap_or(1);
         u32::try_from(count).unwrap_or(u32::MAX).max(1)
     }
 }
--- a/crates/oriolehoist_edge/src/process/warm_up.rs
+++ b/crates/oriolehoist_edge/src/process/warm_up.rs
@@ -22,7 +22,7 @@
         let mut cold = 0;
         for backend in view.backends.values() {
             cold += usize::from(log_change(&cx, backend));
-            if is_check_due(&cx, backend, view.daemon_count) {
+            if is_check_due(&cx, backend, view.fleet_size) {
                 tokio::spawn(probe(Arc::clone(&cx), Arc::clone(backend), Arc::clone(&view)));
             }
         }
@@ -54,7 +54,7 @@
 
 /// Returns whether a health check is due that tells whether a server is cold. It counts as a request, but
 /// does not wait for a token: few daemons ask, and what they learn ends most wrong presumptions.
-fn is_check_due(cx: &Shared, backend: &Backend, daemons: usize) -> bool {
+fn is_check_due(cx: &Shared, backend: &Backend, daemons: Option<usize>) -> bool {
     let now = cx.clock.now();
     let mut availability = backend.availability();
     let is_due = availability.warm_up.take_due_check(now, daemons, fastrand::f64());
--- a/crates/oriolehoist_edge/src/request/select.rs
+++ b/crates/oriolehoist_edge/src/request/select.rs
@@ -170,7 +170,7 @@
             return Selection::Refuse(refusal);
         }
     };
-    let daemons = request.view.daemon_count;
+    let daemons = request.view.fleet_size.unwrap_or(usize::MAX);
     let sample = Sample::draw(&candidates, daemons, &mut fastrand::Rng::new());
     match sample.best(&candidates) {
         Some(_) if uses_load_probes(cx) => {
--- a/crates/oriolehoist_edge/src/version/view.rs
+++ b/crates/oriolehoist_edge/src/version/view.rs
@@ -24,8 +24,8 @@
     pub(crate) key_routes: BTreeMap<SmolStr, KeyRoutes>,
     /// The evacuated zones.
     pub(crate) evacuated_zones: BTreeSet<SmolStr>,
-    /// The number of daemons that share the servers, or zero if it is not known yet.
-    pub(crate) daemon_count: usize,
+    /// The number of daemons that share the servers, if it is known.
+    pub(crate) fleet_size: Option<usize>,
     /// The peer addresses of the other daemons.
     pub(crate) peer_addresses: Vec<SocketAddr>,
     /// Where the other daemons take requests, each with whether it is in the same zone.
--- a/crates/oriolehoist_edge/src/wire/state.rs
+++ b/crates/oriolehoist_edge/src/wire/state.rs
@@ -113,6 +113,10 @@
     /// the short ids of the servers. Missing in the messages of older versions.
     #[serde(default)]
     pub server_speeds: Vec<(u32, u32)>,
+    /// The number of daemons, with those that don't respond. Missing in the messages of older versions, and
+    /// if it is not known.
+    #[serde(default)]
+    pub fleet_size: Option<u32>,
     /// The configuration as it is in the store.
     pub config: Option<Bytes>,
     /// The registered servers that changed.
--- a/crates/oriolehoist_edge/tests/mixed_builds/filled.rs
+++ b/crates/oriolehoist_edge/tests/mixed_builds/filled.rs
@@ -52,6 +52,7 @@
             failures: vec![CallFailure { daemon: u64::MAX, age: Millis(900) }],
         }),
         server_speeds: vec![(7, 3100), (u32::MAX, 1)],
+        fleet_size: Some(u32::MAX),
         config: old.config,
         servers: old.servers,
         routes: old.routes,
--- a/crates/oriolehoist_edge/tests/mixed_builds/from_old.rs
+++ b/crates/oriolehoist_edge/tests/mixed_builds/from_old.rs
@@ -75,6 +75,7 @@
     expect_that!(sync.evacuations.is_none() && sync.store.is_none(), eq(true));
     expect_that!(sync.versions.evacuations, none());
     expect_that!(sync.server_speeds, is_empty());
+    expect_that!(sync.fleet_size, none());
 }
 
 #[gtest]
--- a/crates/oriolehoist_fleet/src/lib.rs
+++ b/crates/oriolehoist_fleet/src/lib.rs
@@ -1,5 +1,5 @@
 //! Which daemons of a fleet work for the others: in which order they try to become the assigner, which
-//! of them relay its messages, and what they tell each other of the load of servers.
+//! of them relay its messages, what they tell each other of the load of servers, and how many daemons there are.
 //!
 //! The crate performs no I/O and reads no clock.
 //!
@@ -16,11 +16,13 @@
 mod election;
 mod load_exchange;
 mod relays;
+mod size;
 mod startup;
 
 pub use {
     election::{Standing, claim_delay, election_delay},
     load_exchange::{LoadExchange, LoadNews, Source},
     relays::{Candidate, Group, MAX_DIRECT, Relays},
+    size::FleetSize,
     startup::table_read_delay,
 };
