End a cold period by a statement only if it was made after the one before was received

What callers would see: a cold server gets its usual requests from all daemons. Cause: of a statement it is known when it was made at the earliest (a health check: when it was sent; a registration: when the list last matched the store without it). on_statement compared two such lower bounds and took the greater one for the later statement, so a check that was sent before the server turned cold, and applied after its registration, ended the cold period at once, and the report of that ended it at all daemons. Two lower bounds give no order. Evidence: a_health_check_from_before_the_server_turned_cold_does_not_end_that_for_all_daemons failed before. Not the cause of the reported floods: no log of a reproduced one has E4015 before the end. Change: a statement counts as later if it can't have been made before the last one was received. Otherwise the longer one counts.

--- a/crates/oriolehoist_admission/src/warm_up.rs
+++ b/crates/oriolehoist_admission/src/warm_up.rs
@@ -59,8 +59,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Statement {
     event: u32,
-    /// A time at which it had not been made yet.
-    made_after: Millis,
+    /// When it was received. What is known to have been made after that is later.
+    received_at: Millis,
     cold_until: Millis,
 }
 
@@ -135,7 +135,8 @@
     /// Records that the server said for how long it is still cold, in a statement made no earlier
     /// than `made_after`. It settles what was presumed because of earlier events.
     pub fn on_statement(&mut self, now: Millis, made_after: Millis, remaining: Millis, event: u32) {
-        let is_latest = self.statement.is_none_or(|statement| statement.made_after <= made_after);
+        // Of one that may have been made before the last one was received, the order is not known.
+        let is_latest = self.statement.is_none_or(|statement| statement.received_at <= made_after);
         let cold_until = now + remaining.min(MAX_WARM_UP);
         let settles = |presumption: &Presumption| presumption.at <= made_after;
         let settled = self.presumption.filter(settles);
@@ -150,13 +151,9 @@
             self.ended = ended.map(|event| (event, now)).or(self.ended);
         }
         match self.statement {
-            // An earlier statement than the last one can't shorten what that one said.
+            // A statement that may be earlier than the last one can't shorten what that one said.
             Some(statement) if !is_latest && statement.cold_until >= cold_until => {}
-            Some(statement) if !is_latest => {
-                let made_after = statement.made_after;
-                self.statement = Some(Statement { event, made_after, cold_until });
-            }
-            _ => self.statement = Some(Statement { event, made_after, cold_until }),
+            _ => self.statement = Some(Statement { event, received_at: now, cold_until }),
         }
         if remaining > Millis::ZERO {
             self.remember(event);
@@ -238,10 +235,10 @@
                 statement.cold_until = statement.cold_until.min(now);
             }
             Some(statement) if is_new && !presumed && statement.cold_until < cold_until => {
-                *statement = Statement { event, made_after: now, cold_until };
+                *statement = Statement { event, received_at: now, cold_until };
             }
             None if is_new && !presumed && remaining > Millis::ZERO => {
-                self.statement = Some(Statement { event, made_after: now, cold_until });
+                self.statement = Some(Statement { event, received_at: now, cold_until });
             }
             _ => {}
         }
