Count all daemons as contenders for a cold server that was unused

While nobody may use a cold server, or no request chooses it, the buckets of all daemons fill up and the measured demand decays. Then all send at once, as none knows of the requests of the others for one report delay.

For one report delay after the first request, each daemon now takes the requests of all others for as many as its own: always after the zone is taken back (SharedRateLimit::resume), and for requests that another server can take after half a second in which nobody asked for a token (try_take_spare). Requests with keys are not affected by plain idleness, as they have no other server.

--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -41,6 +41,8 @@
 /// are lost or late. Without it, 1 of 5,400 simulated servers got 18 requests in a second, 17 allowed; with
 /// it, the most is 16.
 const COLD_DEMAND_MARGIN: f64 = 1.25;
+/// A cold server counts as unused if it had tokens for this long that no daemon asked for, in seconds.
+const UNUSED_SECONDS: f64 = 0.5;
 /// The time constant of the measured demand, in seconds.
 const DEMAND_TIME_CONSTANT: f64 = 1.0;
 
@@ -68,6 +70,12 @@
     /// The tokens that the last request of this daemon needed.
     needed: f64,
     updated_at: Millis,
+    /// For how many seconds there have been tokens that no daemon asked for.
+    unused: f64,
+    /// The first request after a time in which the server was unused.
+    resumed: Option<Resumed>,
+    /// Whether the daemons could not use the server before the next request.
+    was_unavailable: bool,
     /// This daemon's requests since it first knew of a limit.
     own: RequestCounts,
     /// The number of daemons that share the limit.
@@ -77,6 +85,16 @@
     peers: Peers<K>,
 }
 
+/// The use of a server after a time in which it was unused.
+#[derive(Clone, Copy, Debug)]
+struct Resumed {
+    at: Millis,
+    /// How many requests of this daemon have asked for a token since.
+    asked: f64,
+    /// Whether the daemons could not use it before, rather than had no requests for it.
+    was_unavailable: bool,
+}
+
 /// The rate of requests that a cold server gets from all daemons together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdRate {
@@ -132,6 +150,9 @@
             own_demand: 0.0,
             needed: tokens_for(MAX_RANK),
             updated_at: Millis::ZERO,
+            unused: 0.0,
+            resumed: None,
+            was_unavailable: false,
             own: RequestCounts::default(),
             daemons: 1,
             report_delay: REPORT_DELAY,
@@ -151,6 +172,11 @@
         self.report_delay = delay;
     }
 
+    /// Records that no daemon could send requests to the server for some time, and that all may do so now.
+    pub fn resume(&mut self) {
+        self.was_unavailable = true;
+    }
+
     /// Returns the limit in force, in requests per second: the lower one of what the server named and
     /// of what it gets while it is cold.
     pub fn limit(&self) -> Option<f64> {
@@ -200,7 +226,7 @@
         let changed = stated_at > self.stated_at && self.set_limit(now, stated_at, report.limit);
         self.refill(now);
         let new = self.peers.on_limit_report(now, from, report.counts, daemons);
-        self.count_new(new);
+        self.count_new(now, new);
         changed
     }
 
@@ -208,7 +234,7 @@
     pub fn on_counts(&mut self, now: Millis, from: K, counts: RequestCounts, daemons: u32) {
         self.refill(now);
         let new = self.peers.on_cold_report(now, from, counts, daemons);
-        self.count_new(new);
+        self.count_new(now, new);
     }
 
     /// Returns what to tell the other daemons. There is nothing to tell of a server without a limit.
@@ -245,19 +271,50 @@
     ///
     /// Returns the time after which the request may come back.
     pub fn try_take(&mut self, now: Millis, rank: u32, chance: f64) -> Result<(), Millis> {
-        let Some(rate) = self.rate(now) else { return Ok(()) };
+        self.take_token(now, rank, chance, false)
+    }
+
+    /// Does the same for a request that another server can take as well. It is not sent to a cold server
+    /// that was unused, if many daemons may have such requests at the same time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the request may come back.
+    pub fn try_take_spare(&mut self, now: Millis, rank: u32, chance: f64) -> Result<(), Millis> {
+        self.take_token(now, rank, chance, true)
+    }
+
+    fn take_token(
+        &mut self,
+        now: Millis,
+        rank: u32,
+        chance: f64,
+        is_spare: bool,
+    ) -> Result<(), Millis> {
+        let Some(rate) = self.rate(now) else {
+            self.was_unavailable = false;
+            return Ok(());
+        };
         let wait = self.wait(now, rank);
         self.needed = tokens_for(rank);
         // Requests without a key do not ask while there is no token, see `refill`.
         if self.cold.is_none() || wait == Millis::ZERO {
             self.own.asked = self.own.asked.wrapping_add(1);
-            self.count_demand(1.0);
+            self.count_demand(now, 1.0);
             self.own_demand += 1.0 / DEMAND_TIME_CONSTANT;
+            if let Some(resumed) = &mut self.resumed {
+                resumed.asked += 1.0;
+            }
         }
         // Of the requests that would take the same tokens before the daemons know of each other, as
         // many are admitted on average as there are tokens.
         let contenders = self.demand * self.report_delay.0 as f64 / 1000.0;
-        let contenders = contenders * self.cold.map_or(1.0, |_| COLD_DEMAND_MARGIN);
+        let contenders = match self.cold {
+            Some(_) => {
+                (contenders * COLD_DEMAND_MARGIN).max(self.unheard_contenders(now, is_spare))
+            }
+            None => contenders,
+        };
         let is_chosen = chance * contenders < self.tokens.max(1.0);
         // Tokens that many daemons have saved up while they hear little of each other must not be spent
         // at once by all of them, so each sends at random with its part of the rate.
@@ -298,7 +355,9 @@
 
     /// Continues from the limit that another incarnation of the server has because it is cold.
     pub fn succeed(&mut self, now: Millis, predecessor: &SharedRateLimit<K>) {
-        let SharedRateLimit { cold, demand, own_demand, updated_at, .. } = predecessor;
+        let SharedRateLimit { cold, demand, own_demand, updated_at, was_unavailable, .. } =
+            predecessor;
+        self.was_unavailable |= was_unavailable;
         if let Some(cold) = cold {
             self.cold = Some(*cold);
             // Daemons that have not heard of this one still spend the tokens of the other, unseen here.
@@ -315,6 +374,7 @@
         let seconds = now.since(self.updated_at).0 as f64 / 1000.0;
         self.decay_demand(seconds);
         (self.tokens, self.promised, self.updated_at) = (tokens, 0.0, now);
+        (self.unused, self.resumed) = (0.0, None);
     }
 
     /// Returns the rate that this daemon shares with those that report.
@@ -338,6 +398,20 @@
         // key go to other servers meanwhile, and come from all daemons at once as soon as there is a token:
         // a demand that had decayed by then brought new servers up to 21 requests in a second, 17 allowed.
         self.decay_demand(if self.cold.is_some() { seconds - without_token } else { seconds });
+        self.unused += seconds - without_token;
+    }
+
+    /// Returns how many requests may be sent at the same time as one of this daemon to a server that was
+    /// unused until now. Any other daemon may have as many, and none has heard of the others yet.
+    fn unheard_contenders(&self, now: Millis, is_spare: bool) -> f64 {
+        match self.resumed {
+            Some(Resumed { at, asked, was_unavailable })
+                if now.since(at) < self.report_delay && (is_spare || was_unavailable) =>
+            {
+                1.0 + (self.daemons - 1) as f64 * asked.max(1.0)
+            }
+            _ => 0.0,
+        }
     }
 
     fn decay_demand(&mut self, seconds: f64) {
@@ -354,9 +428,11 @@
         }
     }
 
-    fn count_new(&mut self, new: RequestCounts) {
+    fn count_new(&mut self, now: Millis, new: RequestCounts) {
         self.take(f64::from(new.sent));
-        self.count_demand(f64::from(new.asked));
+        if new.asked > 0 {
+            self.count_demand(now, f64::from(new.asked));
+        }
     }
 
     fn take(&mut self, tokens: f64) {
@@ -364,7 +440,12 @@
         self.tokens = (self.tokens - tokens).max(-max_debt);
     }
 
-    fn count_demand(&mut self, requests: f64) {
+    fn count_demand(&mut self, now: Millis, requests: f64) {
+        let was_unused = std::mem::take(&mut self.unused) >= UNUSED_SECONDS;
+        let was_unavailable = std::mem::take(&mut self.was_unavailable);
+        if was_unused || was_unavailable {
+            self.resumed = Some(Resumed { at: now, asked: 0.0, was_unavailable });
+        }
         self.demand += requests / DEMAND_TIME_CONSTANT;
     }
 }
--- a/crates/oriolehoist_admission/tests/cold_servers/idle_servers.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/idle_servers.rs
@@ -89,20 +89,39 @@
     }
 }
 
+/// Why a cold server gets no requests for a while.
+#[derive(Clone, Copy, Debug)]
+enum Idle {
+    Evacuated,
+    NotChosen,
+    NoRequests,
+}
+
 /// Guards against the same if only few servers of a small service are left besides the cold ones.
 #[gtest]
 fn cold_servers_of_a_small_service_are_not_flooded_by_a_burst() {
-    for (count, size, load) in [(3, 9, 300.0), (3, 9, 600.0), (1, 3, 300.0), (1, 3, 600.0)] {
+    for (idle, (count, size, load)) in
+        [Idle::Evacuated, Idle::NotChosen, Idle::NoRequests].into_iter().flat_map(|idle| {
+            [(3, 9, 300.0), (3, 9, 600.0), (1, 3, 300.0), (1, 3, 600.0)].map(|case| (idle, case))
+        })
+    {
         let mut counted = Counted::default();
         for seed in 1..=4 * SEEDS {
             let mut service = service(count, load, seed);
             service.size = size;
             let usable_from = START + Millis(1600);
-            service.usable_from.fill(usable_from);
-            service.run(Millis(500), end_of(&service.fleet.servers));
+            let usual = service.warm_latency_ms.clone();
+            match idle {
+                Idle::Evacuated => service.usable_from.fill(usable_from),
+                Idle::NotChosen => service.warm_latency_ms = 50..150,
+                Idle::NoRequests => service.load = 0.0,
+            }
+            service.run(Millis(500), usable_from);
+            (service.warm_latency_ms, service.load) = (usual, load);
+            service.run(usable_from, end_of(&service.fleet.servers));
             counted.add(seed, &service.fleet.servers, usable_from);
         }
-        counted.check(&format!("{count} of {size} back, {load} a second"), 2.0);
+        counted.check(&format!("{idle:?}: {count} of {size}, {load} a second"), 2.0);
     }
 }
 
@@ -124,3 +143,22 @@
         counted.check(&format!("{demand} a second each after a pause"), 2.0);
     }
 }
+
+/// Guards against a cold server that hardly gets requests any more, since each comes after a pause.
+#[gtest]
+fn cold_servers_with_few_requests_get_most_of_them() {
+    for (demand, min_part) in [(0.5, 0.75), (2.0, 0.75), (5.0, 0.6)] {
+        let (mut reached, mut refused) = (0, 0);
+        for seed in 1..=6 {
+            let mut servers = serving_servers(&mut Rng::with_seed(seed), Millis(10_000));
+            servers.iter_mut().for_each(|server| server.demand = demand);
+            let mut fleet = Fleet::new(servers, policy(A.0), seed);
+            fleet.run(Millis(3500), Millis(14_000));
+            reached += fleet.servers.iter().map(|server| server.reached.len()).sum::<usize>();
+            refused += fleet.servers.iter().map(|server| server.refused).sum::<usize>();
+        }
+        let part = reached as f64 / (reached + refused) as f64;
+        println!("{demand} a second: {reached} sent, {refused} refused, part {part:.3}");
+        expect_that!(part, ge(min_part), "{demand} a second");
+    }
+}
--- a/crates/oriolehoist_admission/tests/cold_servers/new_servers.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/new_servers.rs
@@ -151,6 +151,9 @@
             for daemon in 0..DAEMONS {
                 for server in 0..self.fleet.servers.len() {
                     self.fleet.hear(now, daemon, server);
+                    if self.usable_from[daemon] == now {
+                        self.fleet.known[daemon][server].availability.rate_limit.resume();
+                    }
                 }
             }
             self.fleet.exchange(now);
@@ -228,7 +231,11 @@
             let Some(server) = chosen.and_then(|chosen| candidates[chosen].server) else { return };
             let chance = self.fleet.random.f64();
             let rate_limit = &mut self.fleet.known[daemon][server].availability.rate_limit;
-            match rate_limit.try_take(now, rank, chance) {
+            let taken = match candidates.len() > 1 {
+                true => rate_limit.try_take_spare(now, rank, chance),
+                false => rate_limit.try_take(now, rank, chance),
+            };
+            match taken {
                 Ok(()) => return self.send(now, daemon, server),
                 Err(_) => saturated.push(server),
             }
--- a/crates/oriolehoist_edge/src/connection/backend_warm_up.rs
+++ b/crates/oriolehoist_edge/src/connection/backend_warm_up.rs
@@ -39,10 +39,12 @@
         availability.warm_up.set_policy(policy);
     }
 
-    /// Presumes that the server is cold from now on.
+    /// Presumes that the server is cold from now on, and gets requests of all daemons at once.
     #[allow(dead_code, reason = "called when the evacuation of a zone ends")]
     pub(crate) fn presume_cold(&self, now: Millis) {
-        self.availability().warm_up.presume(now, fastrand::u32(..));
+        let mut availability = self.availability();
+        availability.warm_up.presume(now, fastrand::u32(..));
+        availability.rate_limit.resume();
     }
 
     /// Records that the server has answered.
--- a/crates/oriolehoist_edge/src/request/rate_limit.rs
+++ b/crates/oriolehoist_edge/src/request/rate_limit.rs
@@ -6,8 +6,10 @@
         process::Shared,
         request::{forward::RoutedRequest, refusal::Refusal},
     },
+    oriolehoist_admission::SharedRateLimit,
     oriolehoist_refusal::RefusalKind,
     oriolehoist_time::Millis,
+    std::hash::Hash,
 };
 
 /// Returns how long a request has to wait until the server takes it, as far as the server has said.
@@ -36,13 +38,42 @@
 ) -> Result<bool, Refusal> {
     let rank = request.view.rank(&request.route);
     let now = cx.clock.now();
+    let is_cold = is_cold(backend, now);
+    let is_spare = is_cold && is_spare(request, backend, now);
     let availability = backend.availability().clone();
-    let is_cold = availability.warm_up.cold_until(now).is_some();
     // The lowest chance is always among the drawn ones, and the highest one only if all are.
-    let admitted = availability.rate_limit.clone().try_take(now, rank, 0.0);
+    let admitted = take(&mut availability.rate_limit.clone(), now, rank, 0.0, is_spare);
     admitted.map_err(|wait| refusal(wait, is_cold))?;
     let mut rate_limit = availability.rate_limit;
-    Ok(rate_limit.try_take(now, rank, 1.0).is_err())
+    Ok(take(&mut rate_limit, now, rank, 1.0, is_spare).is_err())
+}
+
+/// Returns whether a server is known or presumed to be cold.
+fn is_cold(backend: &Backend, now: Millis) -> bool {
+    backend.availability().warm_up.cold_until(now).is_some()
+}
+
+/// Returns whether a server that is not cold can take the request as well.
+fn is_spare(request: &RoutedRequest, backend: &Backend, now: Millis) -> bool {
+    let servers = request.view.services.get(&request.service);
+    let is_warm = |other: &Backend| {
+        other.short_id != backend.short_id && other.admits_requests() && !is_cold(other, now)
+    };
+    request.key.is_none()
+        && servers.is_some_and(|servers| servers.iter().any(|other| is_warm(other)))
+}
+
+fn take<K: Eq + Hash>(
+    rate_limit: &mut SharedRateLimit<K>,
+    now: Millis,
+    rank: u32,
+    chance: f64,
+    is_spare: bool,
+) -> Result<(), Millis> {
+    match is_spare {
+        true => rate_limit.try_take_spare(now, rank, chance),
+        false => rate_limit.try_take(now, rank, chance),
+    }
 }
 
 /// Counts a request against the server's limit, right before it is sent.
@@ -57,9 +88,10 @@
 ) -> Result<(), Refusal> {
     let rank = request.view.rank(&request.route);
     let now = cx.clock.now();
-    let mut availability = backend.availability();
-    let is_cold = availability.warm_up.cold_until(now).is_some();
-    let admitted = availability.rate_limit.try_take(now, rank, fastrand::f64());
+    let is_cold = is_cold(backend, now);
+    let is_spare = is_cold && is_spare(request, backend, now);
+    let rate_limit = &mut backend.availability().rate_limit;
+    let admitted = take(rate_limit, now, rank, fastrand::f64(), is_spare);
     if admitted.is_err() && is_cold {
         let end = if request.key.is_some() { "refused" } else { "diverted" };
         cx.metrics.on_warm_up_limit(end);
