Count all daemons as contenders for a cold server that has got keys

Cause: the same as for a zone that is taken back. Requests for keys that are moved wait at all daemons, and come as the routes name the new owner. Change: HeldKeys, without I/O, notices the servers that serve more keys than before. If such a server was unused until then, all daemons count as contenders until one report delay has passed, as after an evacuation. A demand that rises without an event is as before, and listed.

--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -82,6 +82,8 @@
     resumed: Option<Resumed>,
     /// Whether the daemons could not use the server before the next request.
     was_unavailable: bool,
+    /// Whether all daemons may have requests for the server that have waited for the same event.
+    expects_burst: bool,
     /// This daemon's requests since it first knew of a limit.
     own: RequestCounts,
     /// The number of daemons that share the limit, or `None` if it is not known.
@@ -97,8 +99,8 @@
     at: Millis,
     /// How many requests of this daemon have asked for a token since.
     asked: f64,
-    /// Whether the daemons could not use it before, rather than had no requests for it.
-    was_unavailable: bool,
+    /// Whether all daemons may have requests for it at once, also those that no other server can take.
+    for_all: bool,
 }
 
 /// The rate of requests that a cold server gets from all daemons together.
@@ -180,6 +182,7 @@
             unused: 0.0,
             resumed: None,
             was_unavailable: false,
+            expects_burst: false,
             own: RequestCounts::default(),
             daemons: None,
             report_delay: REPORT_DELAY,
@@ -205,6 +208,12 @@
         self.was_unavailable = true;
     }
 
+    /// Records that requests of all daemons may have waited for the server, and come now. If it was in use
+    /// until now, its demand is known well enough.
+    pub fn expect_burst(&mut self) {
+        self.expects_burst = true;
+    }
+
     /// Returns the limit in force, in requests per second: the lower one of what the server named and
     /// of what it gets while it is cold.
     pub fn limit(&self) -> Option<f64> {
@@ -331,7 +340,7 @@
         is_spare: bool,
     ) -> Result<(), Millis> {
         let Some(rate) = self.rate(now) else {
-            self.was_unavailable = false;
+            (self.was_unavailable, self.expects_burst) = (false, false);
             return Ok(());
         };
         let wait = self.wait(now, rank);
@@ -446,8 +455,8 @@
     /// unused until now. Any other daemon may have as many, and none has heard of the others yet.
     fn unheard_contenders(&self, now: Millis, is_spare: bool) -> f64 {
         match self.resumed {
-            Some(Resumed { at, asked, was_unavailable })
-                if now.since(at) < self.report_delay && (is_spare || was_unavailable) =>
+            Some(Resumed { at, asked, for_all })
+                if now.since(at) < self.report_delay && (is_spare || for_all) =>
             {
                 let others = self.daemons.unwrap_or(UNKNOWN_FLEET).saturating_sub(1);
                 1.0 + others as f64 * asked.max(1.0)
@@ -485,8 +494,10 @@
     fn count_demand(&mut self, now: Millis, requests: f64) {
         let was_unused = std::mem::take(&mut self.unused) >= UNUSED_SECONDS;
         let was_unavailable = std::mem::take(&mut self.was_unavailable);
+        let expects_burst = std::mem::take(&mut self.expects_burst);
         if was_unused || was_unavailable {
-            self.resumed = Some(Resumed { at: now, asked: 0.0, was_unavailable });
+            let for_all = was_unavailable || expects_burst;
+            self.resumed = Some(Resumed { at: now, asked: 0.0, for_all });
         }
         self.demand += requests / DEMAND_TIME_CONSTANT;
     }
--- a/crates/oriolehoist_edge/src/connection/backend_warm_up.rs
+++ b/crates/oriolehoist_edge/src/connection/backend_warm_up.rs
@@ -41,13 +41,17 @@
     }
 
     /// Presumes that the server is cold from now on, and gets requests of all daemons at once.
-    #[allow(dead_code, reason = "called when the evacuation of a zone ends")]
     pub(crate) fn presume_cold(&self, now: Millis) {
         let mut availability = self.availability();
         availability.warm_up.presume(now, fastrand::u32(..));
         availability.rate_limit.resume();
     }
 
+    /// Records that the server has got keys, whose requests have waited at all daemons.
+    pub(crate) fn on_more_keys(&self) {
+        lock(&self.availability).rate_limit.expect_burst();
+    }
+
     /// Records that the server has answered.
     pub(crate) fn on_reached(&self, now: Millis) {
         lock(&self.availability).warm_up.on_reached(now);
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -9,7 +9,7 @@
     oriolehoist_admission::WarmUpPolicy,
     oriolehoist_evacuation::EvacuatedZones,
     oriolehoist_fleet::{FleetSize, MAX_DIRECT},
-    oriolehoist_keyspace::{KeyRoutes, RoutedRange, ServerIncarnation},
+    oriolehoist_keyspace::{HeldKeys, KeyRoutes, RoutedRange, ServerIncarnation},
     oriolehoist_log::{Event, report},
     oriolehoist_port::{
         Configuration, KeyRange, OperationalBounds, RegisteredServer, Revision, ServerState,
@@ -71,6 +71,8 @@
     pub(crate) routes: ReplicatedMap<RouteKey, RouteEntry>,
     /// The same routes by service.
     key_routes: BTreeMap<SmolStr, KeyRoutes>,
+    /// The keys of each server, by service, as of the last view.
+    pub(super) held_keys: BTreeMap<SmolStr, HeldKeys>,
     pub(crate) members: ReplicatedMap<SmolStr, Member>,
     pub(crate) evacuations: EvacuatedZones,
     /// The number of daemons, with those that don't respond.
@@ -376,6 +378,7 @@
             }
         }
         let config = Arc::clone(config);
+        self.observe_key_moves(&backends);
         self.observe_builds(cx);
         self.observe_warm_ups();
         let peer_addresses = self.members.get().values().map(|member| member.address);
--- a/crates/oriolehoist_edge/src/control/mod.rs
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod field;
 mod follower;
 mod handlers;
+mod key_moves;
 mod load_gossip;
 mod message;
 mod order_log;
--- a/crates/oriolehoist_keyspace/src/lib.rs
+++ b/crates/oriolehoist_keyspace/src/lib.rs
@@ -31,6 +31,7 @@
 mod assigner;
 mod balance;
 mod evacuate;
+mod held_keys;
 mod load;
 mod orders;
 mod outcomes;
@@ -46,6 +47,7 @@
 
 pub use {
     assigner::{RangeAssigner, StatedNeeds},
+    held_keys::HeldKeys,
     load::LoadReport,
     orders::{OrderId, OrderOutcome, OutgoingOrder},
     reach::Confidence,
