Measure how late reports of cold servers arrive

The daemons assumed that they know of each other's requests after 0.35 s. On machines short of processor time reports take longer, and cold servers got up to 39 requests in a second, 17 allowed.

Each report carries its time of sending. What it takes beyond the fastest message of its sender, in two messages in a row, is added to the delay, and so is the time for which one is overdue.

The simulated daemons have exchanged messages before.

--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -59,7 +59,7 @@
     },
     queue::{FairQueue, QueuedRequest, Ticket},
     rate_limit::{ColdRate, GroupReport, RateReport, RequestCounts, SharedRateLimit},
-    reports::{GroupReports, ReportOrder},
+    reports::{GroupReports, ReportLateness, ReportOrder},
     retry::{RetryBudget, RetryBudgets},
     route_work::{RouteWork, RouteWorks},
     warm_up::{MAX_WARM_UP, WarmUp, WarmUpPolicy, WarmUpReport},
--- a/crates/oriolehoist_admission/src/peers.rs
+++ b/crates/oriolehoist_admission/src/peers.rs
@@ -7,6 +7,10 @@
 /// How long after its last report a daemon is assumed to know and to observe the limit as reported.
 pub(crate) const REPORT_TTL: Millis = Millis(700);
 
+/// The time after which a report is overdue: two intervals between reports that say nothing new, as one
+/// may be lost.
+const OVERDUE: Millis = Millis(400);
+
 /// A daemon that has reported, or a group of them.
 #[derive(Clone, Copy, Debug)]
 struct Peer {
@@ -14,6 +18,8 @@
     reported_at: Millis,
     /// The number of daemons whose requests are counted.
     daemons: u32,
+    /// How much later than usual the report arrived.
+    lateness: Millis,
 }
 
 /// What other daemons report of their requests to one server.
@@ -51,7 +57,9 @@
         daemons: u32,
     ) -> RequestCounts {
         let is_counted = self.reports_cold(now, &from);
-        let known = self.by_limit_report.insert(from, Peer { counts, reported_at: now, daemons });
+        let known = self
+            .by_limit_report
+            .insert(from, Peer { counts, reported_at: now, daemons, lateness: Millis::ZERO });
         known.filter(|_| !is_counted).map(|known| counts.since(known.counts)).unwrap_or_default()
     }
 
@@ -62,8 +70,10 @@
         from: K,
         counts: RequestCounts,
         daemons: u32,
+        lateness: Millis,
     ) -> RequestCounts {
-        let known = self.by_cold_report.insert(from, Peer { counts, reported_at: now, daemons });
+        let peer = Peer { counts, reported_at: now, daemons, lateness };
+        let known = self.by_cold_report.insert(from, peer);
         known.map(|known| counts.since(known.counts)).unwrap_or_default()
     }
 
@@ -75,6 +85,18 @@
         peers.filter(|peer| peer.is_fresh(now)).map(|peer| peer.daemons as usize).sum()
     }
 
+    /// Returns how much later than usual one daemon's reports of a cold server arrive, on average. A
+    /// report that is missing is as late as it is overdue.
+    pub(crate) fn lateness(&self, now: Millis) -> Millis {
+        let peers = self.by_cold_report.values().filter(|peer| peer.is_fresh(now));
+        let (late, daemons) = peers.fold((0, 0), |(late, daemons), peer| {
+            let overdue = now.since(peer.reported_at).since(OVERDUE);
+            let peer_late = peer.lateness.max(overdue).0 * u64::from(peer.daemons);
+            (late + peer_late, daemons + u64::from(peer.daemons))
+        });
+        Millis(late.checked_div(daemons).unwrap_or_default())
+    }
+
     fn reports_cold(&self, now: Millis, from: &K) -> bool {
         self.by_cold_report.get(from).is_some_and(|peer| peer.is_fresh(now))
     }
--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -232,8 +232,20 @@
 
     /// Records the requests to a cold server of other daemons, and how many daemons these are.
     pub fn on_counts(&mut self, now: Millis, from: K, counts: RequestCounts, daemons: u32) {
+        self.on_late_counts(now, from, counts, daemons, Millis::ZERO);
+    }
+
+    /// Records the same from a report that took `lateness` longer than others of the sender.
+    pub fn on_late_counts(
+        &mut self,
+        now: Millis,
+        from: K,
+        counts: RequestCounts,
+        daemons: u32,
+        lateness: Millis,
+    ) {
         self.refill(now);
-        let new = self.peers.on_cold_report(now, from, counts, daemons);
+        let new = self.peers.on_cold_report(now, from, counts, daemons, lateness);
         self.count_new(now, new);
     }
 
@@ -308,7 +320,8 @@
         }
         // Of the requests that would take the same tokens before the daemons know of each other, as
         // many are admitted on average as there are tokens.
-        let contenders = self.demand * self.report_delay.0 as f64 / 1000.0;
+        let delay = self.report_delay(now);
+        let contenders = self.demand * delay.0 as f64 / 1000.0;
         let contenders = match self.cold {
             Some(_) => {
                 (contenders * COLD_DEMAND_MARGIN).max(self.unheard_contenders(now, is_spare))
@@ -406,7 +419,7 @@
     fn unheard_contenders(&self, now: Millis, is_spare: bool) -> f64 {
         match self.resumed {
             Some(Resumed { at, asked, was_unavailable })
-                if now.since(at) < self.report_delay && (is_spare || was_unavailable) =>
+                if now.since(at) < self.report_delay(now) && (is_spare || was_unavailable) =>
             {
                 1.0 + (self.daemons - 1) as f64 * asked.max(1.0)
             }
@@ -414,6 +427,12 @@
         }
     }
 
+    /// Returns the time until a daemon knows of a request that another one has sent, as the reports arrive
+    /// at the moment.
+    fn report_delay(&self, now: Millis) -> Millis {
+        self.report_delay + self.peers.lateness(now)
+    }
+
     fn decay_demand(&mut self, seconds: f64) {
         let decay = (-seconds / DEMAND_TIME_CONSTANT).exp();
         self.demand *= decay;
--- a/crates/oriolehoist_admission/src/reports.rs
+++ b/crates/oriolehoist_admission/src/reports.rs
@@ -8,6 +8,12 @@
 /// total does not fall.
 const GROUP_RETENTION: Millis = Millis(60_000);
 
+/// By how much the clocks of two machines drift apart, as one of this many parts of the time.
+const MAX_CLOCK_DRIFT_DIVISOR: u64 = 10_000;
+
+/// The highest lateness that is assumed.
+const MAX_LATENESS: Millis = Millis(10_000);
+
 /// The reports of daemons and groups that a relay has received about one server, by sender.
 #[derive(Clone, Debug)]
 pub struct GroupReports<K> {
@@ -22,6 +28,50 @@
     latest: HashMap<K, (u32, u64)>,
 }
 
+/// How late the messages of each sender arrive, by the times that they were sent at on its clock.
+#[derive(Clone, Debug)]
+pub struct ReportLateness<K> {
+    by_sender: HashMap<K, LeastDelay>,
+}
+
+/// The shortest way of a message of one run of a sender.
+#[derive(Clone, Copy, Debug)]
+struct LeastDelay {
+    run: u32,
+    /// The time of arrival less that of sending, on two clocks, in milliseconds.
+    offset: i64,
+    arrived_at: Millis,
+    /// How much longer the last message took.
+    last: Millis,
+}
+
+impl<K> Default for ReportLateness<K> {
+    fn default() -> ReportLateness<K> {
+        ReportLateness { by_sender: HashMap::new() }
+    }
+}
+
+impl<K: Eq + Hash> ReportLateness<K> {
+    /// Returns how much longer the last two messages took than the fastest one of the same run of their
+    /// sender. A single one may be late by chance.
+    pub fn measure(&mut self, now: Millis, from: K, run: u32, sent_at: Millis) -> Millis {
+        let offset = (now.0 as i64).saturating_sub(sent_at.0 as i64);
+        let new = LeastDelay { run, offset, arrived_at: now, last: Millis::ZERO };
+        let least = self.by_sender.entry(from).or_insert(new);
+        let drift = now.since(least.arrived_at).0 / MAX_CLOCK_DRIFT_DIVISOR;
+        if least.run != run || offset <= least.offset.saturating_add(drift as i64) {
+            *least = new;
+        }
+        let late = Millis(offset.saturating_sub(least.offset) as u64).min(MAX_LATENESS);
+        std::mem::replace(&mut least.last, late).min(late)
+    }
+
+    /// Forgets the senders that `keep` rejects.
+    pub fn retain(&mut self, keep: impl Fn(&K) -> bool) {
+        self.by_sender.retain(|from, _| keep(from));
+    }
+}
+
 impl<K> Default for ReportOrder<K> {
     fn default() -> ReportOrder<K> {
         ReportOrder { latest: HashMap::new() }
--- a/crates/oriolehoist_admission/tests/cold_servers/fleet.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/fleet.rs
@@ -6,8 +6,8 @@
 use {
     fastrand::Rng,
     oriolehoist_admission::{
-        GroupReport, GroupReports, RateReport, ReportOrder, RequestCounts, StatedAvailability,
-        WarmUpPolicy, WarmUpReport,
+        GroupReport, GroupReports, RateReport, ReportLateness, ReportOrder, RequestCounts,
+        StatedAvailability, WarmUpPolicy, WarmUpReport,
     },
     oriolehoist_time::Millis,
     std::collections::{BTreeMap, HashMap},
@@ -70,6 +70,7 @@
     pub has_heard: bool,
     reports: GroupReports<usize>,
     order: ReportOrder<usize>,
+    lateness: ReportLateness<usize>,
     reported_warm_up: Option<(Millis, WarmUpReport)>,
     /// The requests that were last reported to each daemon.
     sent: HashMap<usize, (Millis, RequestCounts)>,
@@ -156,6 +157,16 @@
         }
     }
 
+    /// Lets all daemons know how long their messages to each other usually take, as they always exchange
+    /// some.
+    pub fn measure_delays(&mut self) {
+        for known in self.known.iter_mut().flatten() {
+            for from in 0..DAEMONS {
+                known.lateness.measure(REPORT_DELAY, from, 1, Millis::ZERO);
+            }
+        }
+    }
+
     pub fn run(&mut self, from: Millis, to: Millis) {
         for millis in from.0..to.0 {
             let now = Millis(millis);
@@ -352,7 +363,9 @@
                 {
                     known.reports.record(now, from, group);
                     let counts = group.report.counts;
-                    known.availability.rate_limit.on_counts(now, from, counts, group.daemons);
+                    let late = known.lateness.measure(now, from, 1, sent_at);
+                    let rate_limit = &mut known.availability.rate_limit;
+                    rate_limit.on_late_counts(now, from, counts, group.daemons, late);
                 }
                 Message::WarmUp(report, heard) if heard == known.has_heard => {
                     known.availability.warm_up.on_report(now, report);
@@ -374,6 +387,7 @@
             has_heard: false,
             reports: GroupReports::default(),
             order: ReportOrder::default(),
+            lateness: ReportLateness::default(),
             reported_warm_up: None,
             sent: HashMap::new(),
         };
--- a/crates/oriolehoist_admission/tests/cold_servers/late_reports.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/late_reports.rs
@@ -27,6 +27,7 @@
     service.arrival_ms = Some(2..51);
     service.fleet.servers.iter_mut().for_each(|server| server.warm_up = WARM_UP_LONG);
     let mut random = Rng::with_seed(seed);
+    service.fleet.measure_delays();
     service.run(Millis(1), late_from);
     for daemon in 0..DAEMONS {
         service.fleet.lag[daemon] = Millis(random.u64(lag_ms.clone()));
--- a/crates/oriolehoist_edge/src/control/cold_servers.rs
+++ b/crates/oriolehoist_edge/src/control/cold_servers.rs
@@ -10,7 +10,8 @@
         wire::{ColdServer, ColdServers, encode_compact},
     },
     oriolehoist_admission::{
-        GroupReport, GroupReports, RateReport, ReportOrder, RequestCounts, WarmUpReport,
+        GroupReport, GroupReports, RateReport, ReportLateness, ReportOrder, RequestCounts,
+        WarmUpReport,
     },
     oriolehoist_fleet::MAX_DIRECT,
     oriolehoist_time::Millis,
@@ -39,6 +40,7 @@
 #[derive(Default)]
 pub(super) struct ReceivedCold {
     order: ReportOrder<IpAddr>,
+    lateness: ReportLateness<IpAddr>,
     counts: HashMap<u32, GroupReports<IpAddr>>,
 }
 
@@ -183,6 +185,8 @@
     let now = cx.clock.now();
     let mut received = lock(received);
     let is_in_order = received.order.accept(from.ip(), message.run, message.sequence);
+    let sent_at = Millis(message.sequence);
+    let late = received.lateness.measure(now, from.ip(), message.run, sent_at);
     for ColdServer { server, counts, daemons, warm_up } in message.servers {
         let Some(backend) = view.backends_by_short_id.get(&server) else { continue };
         if let Some(warm_up) = warm_up {
@@ -192,10 +196,12 @@
             let report = RateReport { limit: None, age: Millis::ZERO, counts };
             let group = GroupReport { report, daemons };
             received.counts.entry(server).or_default().record(now, from.ip(), group);
-            backend.availability().rate_limit.on_counts(now, from, counts, daemons);
+            let rate_limit = &mut backend.availability().rate_limit;
+            rate_limit.on_late_counts(now, from, counts, daemons, late);
         }
     }
     received.counts.retain(|server, _| view.backends_by_short_id.contains_key(server));
     received.order.retain(|from| view.peer_ips.contains(from));
+    received.lateness.retain(|from| view.peer_ips.contains(from));
     true
 }
