--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -27,6 +27,7 @@
 mod crash_suspects;
 mod headroom;
 mod held_requests;
+mod idleness;
 mod known_load;
 mod limit;
 mod load_estimator;
@@ -34,6 +35,7 @@
 mod peers;
 mod queue;
 mod rate_limit;
+mod rate_reports;
 mod reports;
 mod retry;
 mod route_work;
@@ -58,8 +60,9 @@
         latency_for_admission,
     },
     queue::{FairQueue, QueuedRequest, Ticket},
-    rate_limit::{ColdRate, GroupReport, RateBasis, RateReport, RequestCounts, SharedRateLimit},
-    reports::{GroupReports, ReportOrder},
+    rate_limit::SharedRateLimit,
+    rate_reports::{ColdRate, GroupReport, RateBasis, RateReport, RequestCounts},
+    reports::{GroupReports, ReportLateness, ReportOrder},
     retry::{RetryBudget, RetryBudgets},
     route_work::{RouteWork, RouteWorks},
     warm_up::{MAX_WARM_UP, WarmUp, WarmUpPolicy, WarmUpReport},
--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -1,8 +1,12 @@
+mod exchange;
+
 use {
-    crate::peers::Peers,
-    derive_more::Display,
+    crate::{
+        idleness::Idleness,
+        peers::Peers,
+        rate_reports::{ColdRate, RateBasis, RequestCounts},
+    },
     oriolehoist_time::Millis,
-    serde::{Deserialize, Serialize},
     std::hash::Hash,
 };
 
@@ -21,8 +25,6 @@
 /// The lowest rate that is used, per second. A server that gets no requests at all could never say
 /// that its limit has ended.
 const MIN_RATE: f64 = 0.25;
-/// How long the end of a limit is reported to the other daemons.
-const END_REPORT_DURATION: Millis = Millis(2000);
 /// The time until a daemon knows of a request that another one has sent, if they report to each other:
 /// one interval between reports, and their way.
 const REPORT_DELAY: Millis = Millis(60);
@@ -47,8 +49,6 @@
 /// are lost or late. Without it, 1 of 5,400 simulated servers got 18 requests in a second, 17 allowed; with
 /// it, the most is 16.
 const COLD_DEMAND_MARGIN: f64 = 1.25;
-/// A cold server counts as unused if it had tokens for this long that no daemon asked for, in seconds.
-const UNUSED_SECONDS: f64 = 0.5;
 /// The time constant of the measured demand, in seconds.
 const DEMAND_TIME_CONSTANT: f64 = 1.0;
 
@@ -76,14 +76,8 @@
     /// The tokens that the last request of this daemon needed.
     needed: f64,
     updated_at: Millis,
-    /// For how many seconds there have been tokens that no daemon asked for.
-    unused: f64,
-    /// The first request after a time in which the server was unused.
-    resumed: Option<Resumed>,
-    /// Whether the daemons could not use the server before the next request.
-    was_unavailable: bool,
-    /// Whether all daemons may have requests for the server that have waited for the same event.
-    expects_burst: bool,
+    /// When the server was last without requests.
+    idleness: Idleness,
     /// This daemon's requests since it first knew of a limit.
     own: RequestCounts,
     /// The number of daemons that share the limit, or `None` if it is not known.
@@ -93,75 +87,6 @@
     peers: Peers<K>,
 }
 
-/// The use of a server after a time in which it was unused.
-#[derive(Clone, Copy, Debug)]
-struct Resumed {
-    at: Millis,
-    /// How many requests of this daemon have asked for a token since.
-    asked: f64,
-    /// Whether all daemons may have requests for it at once, also those that no other server can take.
-    for_all: bool,
-}
-
-/// The rate of requests that a cold server gets from all daemons together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdRate {
-    /// Requests per second.
-    pub per_second: f64,
-    /// How many of them may come at once after a pause.
-    pub burst: f64,
-}
-
-/// Requests for a server with a limit.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RequestCounts {
-    /// Those that were sent.
-    pub sent: u32,
-    /// Those that asked whether they may be sent.
-    pub asked: u32,
-}
-
-/// What a daemon tells the others about a server's limit.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RateReport {
-    /// What the server said last.
-    pub limit: Option<f64>,
-    /// How long ago it said so.
-    pub age: Millis,
-    /// The daemon's requests since it first knew of a limit.
-    pub counts: RequestCounts,
-}
-
-/// What several daemons together tell others about a server's limit.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct GroupReport {
-    /// The newest statement of the server, and the sum of the requests.
-    pub report: RateReport,
-    /// The number of daemons that have reported lately.
-    pub daemons: u32,
-}
-
-/// What a daemon's use of a server's limit is based on, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Display)]
-#[display(
-    "tokens={tokens:.2} demand={demand:.1} daemons={} reporting={reporting} \
-     report_age_ms={}",
-    daemons.unwrap_or_default(),
-    report_age.0
-)]
-pub struct RateBasis {
-    /// The tokens that are left.
-    pub tokens: f64,
-    /// Requests per second of all daemons.
-    pub demand: f64,
-    /// The number of daemons that share the limit, if it is known.
-    pub daemons: Option<usize>,
-    /// How many of them have reported lately, with this daemon.
-    pub reporting: usize,
-    /// The age of the oldest report of these.
-    pub report_age: Millis,
-}
-
 /// Returns how many tokens there must be for a request of this rank.
 fn tokens_for(rank: u32) -> f64 {
     1.0 + TOKENS_PER_RANK * f64::from(rank.min(MAX_RANK))
@@ -179,10 +104,7 @@
             own_demand: 0.0,
             needed: tokens_for(MAX_RANK),
             updated_at: Millis::ZERO,
-            unused: 0.0,
-            resumed: None,
-            was_unavailable: false,
-            expects_burst: false,
+            idleness: Idleness::default(),
             own: RequestCounts::default(),
             daemons: None,
             report_delay: REPORT_DELAY,
@@ -205,13 +127,13 @@
 
     /// Records that no daemon could send requests to the server for some time, and that all may do so now.
     pub fn resume(&mut self) {
-        self.was_unavailable = true;
+        self.idleness.resume();
     }
 
     /// Records that requests of all daemons may have waited for the server, and come now. If it was in use
     /// until now, its demand is known well enough.
     pub fn expect_burst(&mut self) {
-        self.expects_burst = true;
+        self.idleness.expect_burst();
     }
 
     /// Returns the limit in force, in requests per second: the lower one of what the server named and
@@ -251,37 +173,6 @@
         self.set_limit(now, now, limit)
     }
 
-    /// Records a report of another daemon. Returns whether the limit changed.
-    pub fn on_report(&mut self, now: Millis, from: K, report: RateReport) -> bool {
-        self.on_group_report(now, from, GroupReport { report, daemons: 1 })
-    }
-
-    /// Records a report of several other daemons. Returns whether the limit changed.
-    pub fn on_group_report(&mut self, now: Millis, from: K, group: GroupReport) -> bool {
-        let GroupReport { report, daemons } = group;
-        let stated_at = now.since(report.age);
-        let changed = stated_at > self.stated_at && self.set_limit(now, stated_at, report.limit);
-        self.refill(now);
-        let new = self.peers.on_limit_report(now, from, report.counts, daemons);
-        self.count_new(now, new);
-        changed
-    }
-
-    /// Records the requests to a cold server of other daemons, and how many daemons these are.
-    pub fn on_counts(&mut self, now: Millis, from: K, counts: RequestCounts, daemons: u32) {
-        self.refill(now);
-        let new = self.peers.on_cold_report(now, from, counts, daemons);
-        self.count_new(now, new);
-    }
-
-    /// Returns what to tell the other daemons. There is nothing to tell of a server without a limit.
-    pub fn report(&self, now: Millis) -> Option<RateReport> {
-        let age = now.since(self.stated_at);
-        let has_ended_recently = self.stated_at > Millis::ZERO && age < END_REPORT_DURATION;
-        let is_due = self.limit.is_some() || has_ended_recently;
-        is_due.then_some(RateReport { limit: self.limit, age, counts: self.own })
-    }
-
     /// Returns what the use of the limit is based on.
     pub fn basis(&mut self, now: Millis) -> RateBasis {
         self.refill(now);
@@ -291,14 +182,10 @@
             daemons: self.daemons,
             reporting: self.peers.reporting(now) + 1,
             report_age: self.peers.oldest_report(now),
+            lateness: self.peers.lateness(now),
         }
     }
 
-    /// Returns this daemon's requests to the server, for the other daemons, if it is cold.
-    pub fn cold_counts(&self) -> Option<RequestCounts> {
-        self.cold.map(|_| self.own)
-    }
-
     /// Returns how long it takes until a request of this rank may be sent. A rank of zero is the most
     /// urgent.
     pub fn wait(&mut self, now: Millis, rank: u32) -> Millis {
@@ -340,7 +227,7 @@
         is_spare: bool,
     ) -> Result<(), Millis> {
         let Some(rate) = self.rate(now) else {
-            (self.was_unavailable, self.expects_burst) = (false, false);
+            self.idleness.on_unlimited();
             return Ok(());
         };
         let wait = self.wait(now, rank);
@@ -350,17 +237,16 @@
             self.own.asked = self.own.asked.wrapping_add(1);
             self.count_demand(now, 1.0);
             self.own_demand += 1.0 / DEMAND_TIME_CONSTANT;
-            if let Some(resumed) = &mut self.resumed {
-                resumed.asked += 1.0;
-            }
+            self.idleness.on_own_request();
         }
         // Of the requests that would take the same tokens before the daemons know of each other, as
         // many are admitted on average as there are tokens.
-        let contenders = self.demand * self.report_delay.0 as f64 / 1000.0;
+        let delay = self.report_delay(now);
+        let contenders = self.demand * delay.0 as f64 / 1000.0;
+        let others = self.daemons.unwrap_or(UNKNOWN_FLEET).saturating_sub(1);
         let contenders = match self.cold {
-            Some(_) => {
-                (contenders * COLD_DEMAND_MARGIN).max(self.unheard_contenders(now, is_spare))
-            }
+            Some(_) => (contenders * COLD_DEMAND_MARGIN)
+                .max(self.idleness.contenders(now, delay, others, is_spare)),
             None => contenders,
         };
         let is_chosen = chance * contenders < self.tokens.max(1.0);
@@ -405,9 +291,8 @@
 
     /// Continues from the limit that another incarnation of the server has because it is cold.
     pub fn succeed(&mut self, now: Millis, predecessor: &SharedRateLimit<K>) {
-        let SharedRateLimit { cold, demand, own_demand, updated_at, was_unavailable, .. } =
-            predecessor;
-        self.was_unavailable |= was_unavailable;
+        let SharedRateLimit { cold, demand, own_demand, updated_at, idleness, .. } = predecessor;
+        self.idleness = *idleness;
         if let Some(cold) = cold {
             self.cold = Some(*cold);
             // Daemons that have not heard of this one still spend the tokens of the other, unseen here.
@@ -424,7 +309,7 @@
         let seconds = now.since(self.updated_at).0 as f64 / 1000.0;
         self.decay_demand(seconds);
         (self.tokens, self.promised, self.updated_at) = (tokens, 0.0, now);
-        (self.unused, self.resumed) = (0.0, None);
+        self.idleness.restart();
     }
 
     /// Returns the rate that this daemon shares with those that report.
@@ -448,21 +333,13 @@
         // key go to other servers meanwhile, and come from all daemons at once as soon as there is a token:
         // a demand that had decayed by then brought new servers up to 21 requests in a second, 17 allowed.
         self.decay_demand(if self.cold.is_some() { seconds - without_token } else { seconds });
-        self.unused += seconds - without_token;
+        self.idleness.on_tokens(seconds - without_token);
     }
 
-    /// Returns how many requests may be sent at the same time as one of this daemon to a server that was
-    /// unused until now. Any other daemon may have as many, and none has heard of the others yet.
-    fn unheard_contenders(&self, now: Millis, is_spare: bool) -> f64 {
-        match self.resumed {
-            Some(Resumed { at, asked, for_all })
-                if now.since(at) < self.report_delay && (is_spare || for_all) =>
-            {
-                let others = self.daemons.unwrap_or(UNKNOWN_FLEET).saturating_sub(1);
-                1.0 + others as f64 * asked.max(1.0)
-            }
-            _ => 0.0,
-        }
+    /// Returns the time until a daemon knows of a request that another one has sent, as the reports arrive
+    /// at the moment.
+    fn report_delay(&self, now: Millis) -> Millis {
+        self.report_delay + self.peers.lateness(now)
     }
 
     fn decay_demand(&mut self, seconds: f64) {
@@ -479,26 +356,13 @@
         }
     }
 
-    fn count_new(&mut self, now: Millis, new: RequestCounts) {
-        self.take(f64::from(new.sent));
-        if new.asked > 0 {
-            self.count_demand(now, f64::from(new.asked));
-        }
-    }
-
     fn take(&mut self, tokens: f64) {
         let max_debt = self.limit().unwrap_or_default().max(MIN_RATE) * MAX_DEBT_SECONDS;
         self.tokens = (self.tokens - tokens).max(-max_debt);
     }
 
     fn count_demand(&mut self, now: Millis, requests: f64) {
-        let was_unused = std::mem::take(&mut self.unused) >= UNUSED_SECONDS;
-        let was_unavailable = std::mem::take(&mut self.was_unavailable);
-        let expects_burst = std::mem::take(&mut self.expects_burst);
-        if was_unused || was_unavailable {
-            let for_all = was_unavailable || expects_burst;
-            self.resumed = Some(Resumed { at: now, asked: 0.0, for_all });
-        }
+        self.idleness.on_request(now);
         self.demand += requests / DEMAND_TIME_CONSTANT;
     }
 }
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -76,7 +76,7 @@
     pub(crate) members: ReplicatedMap<SmolStr, Member>,
     pub(crate) evacuations: EvacuatedZones,
     /// The number of daemons, with those that don't respond.
-    fleet: FleetSize,
+    pub(super) fleet: FleetSize,
     backends: Backends,
 }
 
@@ -335,19 +335,6 @@
         config.services.iter().all(|(name, spec)| !spec.sharded || assigned(name))
     }
 
-    /// Records the number of registered daemons. Returns whether that changes the size that shared limits
-    /// are divided by.
-    pub(super) fn observe_fleet(&mut self, now: Millis, daemons: usize) -> bool {
-        let before = self.fleet.get(now);
-        self.fleet.observe(now, daemons);
-        before != self.fleet.get(now)
-    }
-
-    /// Returns the number of daemons, if it is known, for the other ones.
-    pub(super) fn fleet_size(&self, now: Millis) -> Option<u32> {
-        self.fleet.get(now).and_then(|size| u32::try_from(size).ok())
-    }
-
     /// Publishes a new view for the request path.
     pub(crate) fn publish(&mut self, cx: &Shared) {
         let Some(config) = &self.config else { return };
--- a/crates/oriolehoist_edge/src/control/cold_servers.rs
+++ b/crates/oriolehoist_edge/src/control/cold_servers.rs
@@ -10,7 +10,8 @@
         wire::{ColdServer, ColdServers, encode_compact},
     },
     oriolehoist_admission::{
-        GroupReport, GroupReports, RateReport, ReportOrder, RequestCounts, WarmUpReport,
+        GroupReport, GroupReports, RateReport, ReportLateness, ReportOrder, RequestCounts,
+        WarmUpReport,
     },
     oriolehoist_fleet::MAX_DIRECT,
     oriolehoist_time::Millis,
@@ -29,6 +30,9 @@
 const RELAYED_INTERVAL: Duration = Duration::from_millis(100);
 /// The time after which a daemon repeats what it has reported. A few reports may be lost.
 const REPEAT_INTERVAL: Millis = Millis(200);
+/// The time after which a daemon sends an empty message if operators limit cold servers, so that the
+/// receivers know how long messages usually take before a server is cold.
+const IDLE_INTERVAL: Millis = Millis(5000);
 /// The maximum number of servers in a message, which then has about 1,100 bytes.
 const MAX_SERVERS_PER_DATAGRAM: usize = 25;
 /// About the maximum number of messages that a daemon sends at a time, so that a relay of many daemons
@@ -39,6 +43,7 @@
 #[derive(Default)]
 pub(super) struct ReceivedCold {
     order: ReportOrder<IpAddr>,
+    lateness: ReportLateness<IpAddr>,
     counts: HashMap<u32, GroupReports<IpAddr>>,
 }
 
@@ -58,6 +63,7 @@
     received: Arc<Mutex<ReceivedCold>>,
 ) {
     let mut sent: HashMap<(IpAddr, u32), Sent> = HashMap::new();
+    let mut last_message: HashMap<IpAddr, Millis> = HashMap::new();
     let mut turn = 0;
     loop {
         let is_relayed = matches!(&*cx.load_peers(), LoadPeers::Relayed { .. });
@@ -66,7 +72,7 @@
         let now = cx.clock.now();
         sent.retain(|_, sent| now.since(sent.at) < REPEAT_INTERVAL);
         let own = own_reports(&view, now);
-        if own.is_empty() {
+        if own.is_empty() && !view.limits_cold_servers() {
             continue;
         }
         let peers = cx.load_peers();
@@ -80,6 +86,7 @@
         let is_child = |from: &IpAddr| down.iter().any(|child| child.ip() == *from);
         let mut receivers: Vec<(IpAddr, bool)> = up.iter().map(|peer| (peer.ip(), true)).collect();
         receivers.extend(down.iter().map(|child| (child.ip(), false)));
+        last_message.retain(|to, _| view.peer_ips.contains(to));
         // Who gets nothing this time, since there is too much to send, is the first next time.
         let count = receivers.len().max(1);
         receivers.rotate_left(turn % count);
@@ -95,7 +102,14 @@
                 let last = sent.get(&(to, report.server));
                 last.is_none_or(|last| Sent::of(report, last.at) != *last)
             });
+            let last = last_message.get(&to).copied().unwrap_or_default();
+            if due.is_empty() && now.since(last) >= IDLE_INTERVAL {
+                last_message.insert(to, now);
+                send(&cx, &socket, now, SocketAddr::new(to, port), &[]).await;
+                datagrams += 1;
+            }
             for part in due.chunks(MAX_SERVERS_PER_DATAGRAM) {
+                last_message.insert(to, now);
                 sent.extend(part.iter().map(|report| ((to, report.server), Sent::of(report, now))));
                 send(&cx, &socket, now, SocketAddr::new(to, port), part).await;
                 datagrams += 1;
@@ -183,6 +197,8 @@
     let now = cx.clock.now();
     let mut received = lock(received);
     let is_in_order = received.order.accept(from.ip(), message.run, message.sequence);
+    let sent_at = Millis(message.sequence);
+    let late = received.lateness.measure(now, from.ip(), message.run, sent_at);
     for ColdServer { server, counts, daemons, warm_up } in message.servers {
         let Some(backend) = view.backends_by_short_id.get(&server) else { continue };
         if let Some(warm_up) = warm_up {
@@ -192,10 +208,12 @@
             let report = RateReport { limit: None, age: Millis::ZERO, counts };
             let group = GroupReport { report, daemons };
             received.counts.entry(server).or_default().record(now, from.ip(), group);
-            backend.availability().rate_limit.on_counts(now, from, counts, daemons);
+            let rate_limit = &mut backend.availability().rate_limit;
+            rate_limit.on_late_counts(now, from, counts, daemons, late);
         }
     }
     received.counts.retain(|server, _| view.backends_by_short_id.contains_key(server));
     received.order.retain(|from| view.peer_ips.contains(from));
+    received.lateness.retain(|from| view.peer_ips.contains(from));
     true
 }
--- a/crates/oriolehoist_edge/src/control/mod.rs
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod evacuations;
 mod fanout;
 mod field;
+mod fleet_size;
 mod follower;
 mod handlers;
 mod key_moves;
