--- a/crates/oriolehoist_platform/src/error.rs
+++ b/crates/oriolehoist_platform/src/error.rs
@@ -13,6 +13,9 @@
     #[display("the platform refused the call with HTTP status {_0}")]
     #[error(ignore)]
     Refused(u16),
+    /// The response is larger than allowed. The call may have taken effect.
+    #[display("the response of the platform is too large")]
+    TooLarge,
     /// The response is malformed. The call may have taken effect.
     #[display("the response of the platform is malformed: {_0}")]
     Malformed(serde_json::Error),
@@ -25,7 +28,7 @@
     /// Returns whether a write may have taken effect despite the error.
     pub fn may_have_taken_effect(&self) -> bool {
         match self {
-            StoreError::Unknown(_) | StoreError::Malformed(_) => true,
+            StoreError::Unknown(_) | StoreError::TooLarge | StoreError::Malformed(_) => true,
             StoreError::Unreached(_) | StoreError::Refused(_) | StoreError::Client(_) => false,
         }
     }
--- a/crates/oriolehoist_platform/src/store.rs
+++ b/crates/oriolehoist_platform/src/store.rs
@@ -14,6 +14,8 @@
 
 /// Timeout for reads and writes.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The maximum size of a response body, in bytes. A watch may return several values of a megabyte.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -133,7 +135,13 @@
 }
 
 /// Reads the body of a response as JSON.
-pub(crate) async fn decode<T: DeserializeOwned>(response: Response) -> Result<T, StoreError> {
-    let body = response.bytes().await.map_err(StoreError::Unknown)?;
+pub(crate) async fn decode<T: DeserializeOwned>(mut response: Response) -> Result<T, StoreError> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.map_err(StoreError::Unknown)? {
+        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+            return Err(StoreError::TooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
     serde_json::from_slice(&body).map_err(StoreError::Malformed)
 }
