Bound the bodies of all responses on the own interface together

The daemon limited each response, but not all together: 300 responses without end at once, 4 MB allowed for each, took 464 MB.

Take their memory from the account that the platform's interface has, which moves to oriolehoist_http1 as BodyMemory.

--- a/crates/oriolehoist_daemon/src/request/exchange.rs
+++ b/crates/oriolehoist_daemon/src/request/exchange.rs
@@ -8,6 +8,7 @@
     },
     axum::http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
     bytes::{Bytes, BytesMut},
+    oriolehoist_http1::BodyMemory,
     oriolehoist_protocol::{
         ATTEMPT, CLASS, DEADLINE_MS, EPOCH, EXCHANGE, INCARNATION, Incarnation, KEY, NOT_RUN,
         REQUEST_ID, SERVICE, SHARD, WORKSPACE,
@@ -179,10 +180,10 @@
     }
     let max_bytes = usize::try_from(parsed.policy.max_answer_bytes).unwrap_or(usize::MAX);
     match read_body(response, max_bytes).await {
-        Ok(Some(body)) => ExchangeOutcome::Complete(ServerResponse { status, headers, body }),
-        Ok(None) => ExchangeOutcome::TooLarge,
-        Err(error) if error.is_timeout() => ExchangeOutcome::TimedOut,
-        Err(_) => ExchangeOutcome::Interrupted,
+        Ok(body) => ExchangeOutcome::Complete(ServerResponse { status, headers, body }),
+        Err(BodyFailure::TooLarge) => ExchangeOutcome::TooLarge,
+        Err(BodyFailure::Broken(error)) if error.is_timeout() => ExchangeOutcome::TimedOut,
+        Err(BodyFailure::Broken(_) | BodyFailure::NoMemory) => ExchangeOutcome::Interrupted,
     }
 }
 
@@ -201,17 +202,27 @@
         || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-/// Reads a body of at most `max_bytes` bytes. Returns `None` if it is larger.
-async fn read_body(
-    mut response: Response,
-    max_bytes: usize,
-) -> Result<Option<Bytes>, reqwest::Error> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = response.chunk().await? {
+/// Why a body was not read.
+enum BodyFailure {
+    /// The connection broke, or the body did not arrive in time.
+    Broken(reqwest::Error),
+    /// It is larger than the policy allows.
+    TooLarge,
+    /// The bodies that are being received need too much memory.
+    NoMemory,
+}
+
+/// Reads a body of at most `max_bytes` bytes.
+async fn read_body(mut response: Response, max_bytes: usize) -> Result<Bytes, BodyFailure> {
+    let (mut body, mut memory) = (BytesMut::new(), BodyMemory::default());
+    while let Some(chunk) = response.chunk().await.map_err(BodyFailure::Broken)? {
         if body.len() + chunk.len() > max_bytes {
-            return Ok(None);
+            return Err(BodyFailure::TooLarge);
         }
         body.extend_from_slice(&chunk);
+        if !memory.grow_to(body.capacity()) {
+            return Err(BodyFailure::NoMemory);
+        }
     }
-    Ok(Some(body.freeze()))
+    Ok(memory.attach_to(body.freeze()))
 }
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -1,10 +1,9 @@
 use {
-    crate::connection::BodyMemory,
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     http::{HeaderName, HeaderValue, Method},
     oriolehoist_exchange::{ConnectionHistory, Correlation, ExchangeName, ResponseId, Verdict},
-    oriolehoist_http1::{BodyError, BodyReader, ResponseHead, parse_response_head},
+    oriolehoist_http1::{BodyError, BodyMemory, BodyReader, ResponseHead, parse_response_head},
     oriolehoist_port::HttpResponse,
     oriolehoist_time::{Clock, Millis},
     rustix::net::sockopt::{set_socket_linger, set_tcp_user_timeout},
@@ -23,6 +22,10 @@
 
 /// The maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// The maximum size of the response body to an order or a health check, in bytes.
+pub(crate) const MAX_CONTROL_BODY_BYTES: u64 = 256 << 10;
+/// The maximum size of any other response body, in bytes. The complete body is held in memory.
+pub(crate) const MAX_BODY_BYTES: u64 = 32 << 20;
 /// The maximum number of bytes that belong to no body: heads, also those of interim responses, the
 /// framing, and responses to other requests. They need no memory, but would keep a request waiting
 /// until its deadline.
--- a/crates/oriolehoist_edge/src/connection/mod.rs
+++ b/crates/oriolehoist_edge/src/connection/mod.rs
@@ -8,7 +8,6 @@
 mod client;
 mod client_connection;
 mod idle_pool;
-mod response_memory;
 mod silence;
 
 pub(crate) use {
@@ -18,9 +17,8 @@
     client::{HttpClient, HttpClientOptions},
     client_connection::{
         CallError, ClientConnection, ConnectionState, ExchangeProgress, ExpectedResponse,
-        IdHeaders, ReceivedResponse,
+        IdHeaders, MAX_BODY_BYTES, MAX_CONTROL_BODY_BYTES, ReceivedResponse,
     },
     idle_pool::IdlePool,
-    response_memory::{BodyMemory, MAX_BODY_BYTES, MAX_CONTROL_BODY_BYTES},
     silence::SilenceTracker,
 };
--- a/crates/oriolehoist_edge/src/connection/response_memory.rs
+++ b/crates/oriolehoist_http1/src/body_memory.rs
@@ -3,10 +3,6 @@
     std::sync::atomic::{AtomicU64, Ordering},
 };
 
-/// The maximum size of the response body to an order or a health check, in bytes.
-pub(crate) const MAX_CONTROL_BODY_BYTES: u64 = 256 << 10;
-/// The maximum size of any other response body, in bytes. The complete body is held in memory.
-pub(crate) const MAX_BODY_BYTES: u64 = 32 << 20;
 /// The part of a body's buffer that is not counted, in bytes. Responses of the usual size are not
 /// affected by others that are large.
 const UNCOUNTED_BYTES: u64 = 16 << 10;
@@ -19,7 +15,7 @@
 
 /// The share of one body in the memory for large bodies, which is returned when this is dropped.
 #[derive(Debug, Default)]
-pub(crate) struct BodyMemory {
+pub struct BodyMemory {
     counted: u64,
 }
 
@@ -33,7 +29,8 @@
     /// Takes the memory for a body whose buffer has grown to `capacity` bytes. Returns whether it may
     /// grow: a body gets at most as much as is left to all others, so that those without end don't use
     /// up the memory.
-    pub(crate) fn grow_to(&mut self, capacity: usize) -> bool {
+    #[must_use]
+    pub fn grow_to(&mut self, capacity: usize) -> bool {
         let needed = (capacity as u64).saturating_sub(UNCOUNTED_BYTES);
         let additional = needed.saturating_sub(self.counted);
         if additional == 0 {
@@ -47,7 +44,8 @@
     }
 
     /// Returns a complete body that returns the memory when it is dropped.
-    pub(crate) fn attach_to(self, body: Bytes) -> Bytes {
+    #[must_use]
+    pub fn attach_to(self, body: Bytes) -> Bytes {
         match self.counted {
             0 => body,
             _ => Bytes::from_owner(CountedBody { body, _memory: self }),
--- a/crates/oriolehoist_http1/src/lib.rs
+++ b/crates/oriolehoist_http1/src/lib.rs
@@ -13,11 +13,13 @@
 //! ```
 
 mod body;
+mod body_memory;
 mod encode;
 mod head;
 
 pub use {
     body::{BodyError, BodyLength, BodyReader},
+    body_memory::BodyMemory,
     encode::{encode_request, encode_response},
     head::{
         HeadError, RequestHead, ResponseHead, end_to_end_headers, parse_request_head,
