--- a/tests/users_platform/endless_calls.rs
+++ b/tests/users_platform/endless_calls.rs
@@ -4,10 +4,11 @@
     crate::load::*,
     futures::future::join_all,
     googletest::prelude::*,
-    oriolehoist_testkit::users_platform::*,
+    oriolehoist_testkit::{fault::Fault, users_platform::*},
     reqwest::Method,
     std::{
         net::{IpAddr, SocketAddr},
+        path::Path,
         sync::{
             Arc,
             atomic::{AtomicUsize, Ordering},
@@ -31,7 +32,11 @@
 /// A response to any call, from the server with this index.
 fn sound_reply(index: u8, call: &ScriptedCall, body: &str) -> ScriptedReply {
     let (server, token) = (format!("i-{index}"), format!("{:016x}", fastrand::u64(..)));
-    let mut headers = vec![("x-instance-id", server.as_str()), ("x-response-signature", "sig")];
+    let mut headers = vec![
+        ("x-instance-id", server.as_str()),
+        ("x-response-signature", "sig"),
+        ("x-server-load", "1,0,6,100"),
+    ];
     headers.extend(call.id.as_deref().map(|id| ("x-request-id", id)));
     if call.path == "/v1/release" {
         headers.push(("x-handover", &token));
@@ -175,10 +180,11 @@
     check_calls("keyed", "/k/").await
 }
 
-/// A member of the deployment that sends bytes without end to all calls, from which it counts them.
+/// A member of the deployment that sends bytes without end to all calls at these ports, and counts them.
 async fn add_faulty_member(
     deployment: &Deployment,
     fault: ResponseFault,
+    ports: &[u16],
 ) -> eyre::Result<(Arc<AtomicUsize>, Vec<ScriptedServer>)> {
     let mut octets = match deployment.daemons[0].peer_address.ip() {
         IpAddr::V4(ip) => ip.octets(),
@@ -186,13 +192,13 @@
     };
     octets[3] = 200;
     let (calls, mut listeners) = (Arc::new(AtomicUsize::new(0)), Vec::new());
-    for port in [8166, 7722] {
+    for port in ports {
         let counter = Arc::clone(&calls);
         let script = move |call: &ScriptedCall| {
             counter.fetch_add(1, Ordering::Relaxed);
             ScriptedReply::endless(fault, call.id.as_deref().unwrap_or_default())
         };
-        listeners.push(ScriptedServer::start((octets, port).into(), script).await?);
+        listeners.push(ScriptedServer::start((octets, *port).into(), script).await?);
     }
     deployment.register_absent_daemon_at(0, SocketAddr::from((octets, 8166)));
     Ok((calls, listeners))
@@ -203,7 +209,7 @@
 async fn responses_of_another_daemon_without_end_do_not_use_up_the_memory() -> eyre::Result<()> {
     for fault in [ResponseFault::EndlessChunks, ResponseFault::EndlessHead] {
         let deployment = deployment(1, 1, 1).await?;
-        let (calls, listeners) = add_faulty_member(&deployment, fault).await?;
+        let (calls, listeners) = add_faulty_member(&deployment, fault, &[8166, 7722]).await?;
         let load = Load::start(vec![deployment.daemons[0].caller_address], "beside")?;
         sleep(SECOND * 4).await;
         let served = served_share(&load.finish().await);
@@ -231,3 +237,115 @@
     clean_up(deployment);
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_to_releases_without_end_do_not_use_up_the_memory() -> eyre::Result<()> {
+    let deployment = deployment(1, 1, 1).await?;
+    let fault = ResponseFault::EndlessBody;
+    let (calls, servers) =
+        add_faulty_servers(&deployment, 3, "keyed", "/v1/release", fault).await?;
+    deployment.register(&deployment.servers[0], "keyed", "draining");
+    sleep(SECOND * 2).await;
+    deployment.register(&deployment.servers[0], "keyed", "ready");
+    for index in FIRST..FIRST + 3 {
+        deployment.register_address_in_state(index, "keyed", "draining");
+    }
+    sleep(SECOND * 3).await;
+    println!("releases: {calls:?} calls");
+    check_memory(&deployment.daemons[0], "releases");
+    expect_that!(calls.load(Ordering::Relaxed), gt(0));
+    drop(servers);
+    clean_up(deployment);
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn health_checks_of_lost_paths_without_end_do_not_use_up_the_memory() -> eyre::Result<()> {
+    let program = Path::new(env!("CARGO_BIN_EXE_oriolehoist"));
+    let deployment = Deployment::start_behind_proxies(program, 1, 1, 1, DRAIN_PERIOD).await?;
+    let (calls, mut servers) = (Arc::new(AtomicUsize::new(0)), Vec::new());
+    for index in FIRST..FIRST + 5 {
+        let counter = Arc::clone(&calls);
+        let script = move |call: &ScriptedCall| {
+            if call.path != "/health" {
+                return sound_reply(index, call, "");
+            }
+            counter.fetch_add(1, Ordering::Relaxed);
+            ScriptedReply::endless(ResponseFault::EndlessBody, "")
+        };
+        servers.push(deployment.add_scripted_server_behind_proxy(index, "plain", script).await?);
+    }
+    let load = Load::start(vec![deployment.daemons[0].caller_address], "beside")?;
+    sleep(SECOND).await;
+    for (_, edge) in &servers {
+        deployment.network.add_fault(None, edge, Fault::Reset);
+    }
+    sleep(SECOND * 2).await;
+    deployment.network.clear_all_faults();
+    sleep(SECOND * 3).await;
+    load.finish().await;
+    println!("health checks: {calls:?} calls");
+    check_memory(&deployment.daemons[0], "health checks");
+    expect_that!(calls.load(Ordering::Relaxed), gt(0));
+    drop(servers);
+    clean_up(deployment);
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn load_probes_without_end_do_not_use_up_the_memory() -> eyre::Result<()> {
+    // Enough daemons for relays, without which servers are not probed.
+    let deployment = deployment(24, 1, 0).await?;
+    let fault = ResponseFault::EndlessBody;
+    let (calls, servers) = add_faulty_servers(&deployment, 5, "plain", "/health", fault).await?;
+    sleep(SECOND * 2).await;
+    let (daemon, client) = (&deployment.daemons[0], Client::new(HOST, "probed")?);
+    for _ in 0..20 {
+        let send = || client.send(daemon.caller_address, Method::GET, "/p/a", None, DEADLINE);
+        let responses = join_all((0..3).map(|_| send())).await;
+        expect_that!(responses.iter().filter(|one| one.status != Some(200)).count(), eq(0));
+        sleep(SECOND / 10).await;
+    }
+    println!("load probes: {calls:?} calls");
+    check_memory(daemon, "load probes");
+    expect_that!(calls.load(Ordering::Relaxed), gt(0));
+    drop(servers);
+    clean_up(deployment);
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_to_requests_handed_over_without_end_do_not_use_up_the_memory() -> eyre::Result<()>
+{
+    let program = Path::new(env!("CARGO_BIN_EXE_oriolehoist"));
+    let deployment = Deployment::start_behind_proxies(program, 3, 2, 2, DRAIN_PERIOD).await?;
+    let cut = &deployment.daemons[(assigner_index(&deployment) + 1) % 3];
+    for server in 0..4 {
+        let edge = server_edge(server);
+        deployment.network.add_fault(Some(cut.peer_address.ip()), &edge, Fault::Reset);
+    }
+    let load = Load::start(vec![cut.caller_address], "learn")?;
+    sleep(SECOND).await;
+    load.finish().await;
+    let fault = ResponseFault::EndlessChunks;
+    let (calls, listeners) = add_faulty_member(&deployment, fault, &[7722]).await?;
+    sleep(SECOND * 2).await;
+    for server in &deployment.servers {
+        let service_time = SECOND / 4;
+        server.set_faults(ServerFaults { service_time, ..ServerFaults::default() });
+    }
+    let client = Client::new(HOST, "handed")?;
+    let send = || client.send(cut.caller_address, Method::GET, "/p/a", None, DEADLINE);
+    let responses = join_all((0..60).map(|_| send())).await;
+    let served = responses.iter().filter(|response| response.is_served()).count();
+    println!("handed over: {calls:?} calls, {served} of 60 served");
+    check_memory(cut, "handed over");
+    expect_that!(calls.load(Ordering::Relaxed), gt(0));
+    drop(listeners);
+    clean_up(deployment);
+    Ok(())
+}
