--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -6,6 +6,7 @@
 mod callers_that_left;
 mod cold_fleet;
 mod cold_servers;
+mod endless_calls;
 mod endless_responses;
 mod evacuations;
 mod explain;
