Refuse requests that a stop would cut off

Cause: a stopping daemon judged a request like any other. Nothing compared its deadline with the time until the exit, so requests were sent to servers that needed longer, and were cut off without an answer, bookings among them. This includes first requests on connections opened before 3 s, and bodies that arrive late. Change: `Stop` in oriolehoist_forwarding decides on arrival, before each attempt and before each hand-over. Once callers reach other daemons, a deadline has to pass before the exit; until then, an expected end with twice the expected latency is enough, as a refused caller would come back. Requests of other daemons are returned to them. The suite was not run as a whole.

--- a/crates/oriolehoist_edge/src/process/daemon.rs
+++ b/crates/oriolehoist_edge/src/process/daemon.rs
@@ -174,6 +174,12 @@
     });
 }
 
+/// Returns how long after the request to stop the process exits at the latest.
+pub(super) fn shutdown_time_limit(grace: Millis) -> Millis {
+    let max_margin = Millis(grace.0 * MAX_SHUTDOWN_MARGIN_PERCENT / 100);
+    grace.since(SHUTDOWN_MARGIN.min(max_margin))
+}
+
 /// Shuts down gracefully: reports the daemon as not ready, hands over the assigner's role, and
 /// continues to serve until the load balancer has had time to notice and all connections are
 /// closed, or until the shutdown period is almost over.
@@ -190,9 +196,7 @@
     tokio::spawn(async move {
         let _ = control_handle.ask(Stop).await;
     });
-    let grace = cx.bootstrap.bounds.shutdown_grace;
-    let max_margin = Millis(grace.0 * MAX_SHUTDOWN_MARGIN_PERCENT / 100);
-    let time_limit = grace.since(SHUTDOWN_MARGIN.min(max_margin));
+    let time_limit = shutdown_time_limit(cx.bootstrap.bounds.shutdown_grace);
     loop {
         let elapsed = cx.clock.now().since(stop_requested_at);
         if elapsed >= LOAD_BALANCER_NOTICE_TIME {
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -2,7 +2,7 @@
     crate::{
         connection::{BackendContext, HttpClient, HttpClientOptions},
         control::OrDash,
-        process::Metrics,
+        process::{Metrics, daemon::shutdown_time_limit},
         request::Holds,
         version::View,
     },
@@ -10,6 +10,7 @@
         CrashId, CrashSuspects, Fingerprint, RetryBudget, RetryBudgets, RouteWorks,
     },
     oriolehoist_backoff::Backoff,
+    oriolehoist_forwarding::Stop,
     oriolehoist_keyspace::LoadReport,
     oriolehoist_log::{Event, report},
     oriolehoist_port::{BootstrapConfig, CallerLimits, Platform, StoreEra},
@@ -292,6 +293,16 @@
         self.caller_connections.load(Ordering::Relaxed) + self.handed_over.load(Ordering::Relaxed)
     }
 
+    /// Returns by when a request has to end, if this daemon is shutting down.
+    pub(crate) fn stop(&self) -> Option<Stop> {
+        if !self.is_stopping() {
+            return None;
+        }
+        let since = Millis(self.stopping_since.load(Ordering::Relaxed));
+        let limit = shutdown_time_limit(self.bootstrap.bounds.shutdown_grace);
+        Some(Stop { callers_leave: since + CLOSE_DELAY, exits: since + limit })
+    }
+
     /// Returns whether connections may be closed: this daemon is shutting down, and the load
     /// balancer has had time to notice.
     pub(crate) fn may_close_connections(&self) -> bool {
--- a/crates/oriolehoist_edge/src/request/forward.rs
+++ b/crates/oriolehoist_edge/src/request/forward.rs
@@ -78,6 +78,10 @@
 pub(crate) async fn forward(cx: &Arc<Shared>, request: &mut RoutedRequest) -> ForwardOutcome {
     let may_exceed_headroom = fastrand::f64() < HEADROOM_EXEMPT_SHARE;
     let mut life = RequestLife::new(PlatformTerms { may_exceed_headroom, ..terms(request) });
+    life.set_stop(cx.stop());
+    if let Err(refusal) = life.check_stop(cx.clock.now(), None) {
+        return ForwardOutcome::Refused(refusal);
+    }
     let mut holds = RequestHolds::new(cx);
     let outcome = attempt_until_final(cx, request, &mut life, &mut holds).await;
     holds.on_ended(life.attempts());
@@ -108,6 +112,7 @@
     holds: &mut RequestHolds<'_>,
 ) -> ForwardOutcome {
     loop {
+        life.set_stop(cx.stop());
         let (backend, is_path_lost) = match select_or_wait(cx, request, life).await {
             Ok(selected) => selected,
             Err(refusal) => return ForwardOutcome::Refused(refusal),
@@ -197,6 +202,7 @@
 ) -> Result<HttpResponse, PlatformNext> {
     let (view, route, service) = (&request.view, &request.route, &request.service);
     life.set_headroom(view.headroom(route, service), view.reserved_wait(route, service));
+    life.set_stop(cx.stop());
     let mut gates = AttemptGates { cx, request, backend, suspect_guard: None };
     life.admit(cx.clock.now(), &mut gates)?;
     let AttemptGates { request, suspect_guard, .. } = gates;
--- a/crates/oriolehoist_edge/src/request/handed_over.rs
+++ b/crates/oriolehoist_edge/src/request/handed_over.rs
@@ -88,6 +88,10 @@
         ForwardOutcome::Refused(refusal) if refusal.kind == RefusalKind::Unreachable => {
             no_path(cx, cx.paths().is_cut_off())
         }
+        // Another daemon may still serve it.
+        ForwardOutcome::Refused(refusal) if refusal.kind == RefusalKind::Stopping => {
+            no_path(cx, true)
+        }
         ForwardOutcome::Refused(refusal) => HandOverReply::Refused(HandedOverRefusal {
             kind: refusal.kind,
             expected_wait: refusal.expected_wait,
--- a/crates/oriolehoist_edge/src/request/handover.rs
+++ b/crates/oriolehoist_edge/src/request/handover.rs
@@ -56,6 +56,7 @@
 ) -> HandedOver {
     let mut tried = Vec::new();
     let mut now = cx.clock.now();
+    life.set_stop(cx.stop());
     let mut next = life.start_hand_over(now);
     loop {
         match next {
@@ -82,6 +83,7 @@
             Asked::Ended(end) => end,
         };
         now = cx.clock.now();
+        life.set_stop(cx.stop());
         next = life.on_daemon_ended(now, end);
     }
 }
--- a/crates/oriolehoist_forwarding/src/lib.rs
+++ b/crates/oriolehoist_forwarding/src/lib.rs
@@ -32,6 +32,7 @@
 mod platform;
 mod progress;
 mod refusal;
+mod stopping;
 
 pub use {
     hand_over::{DaemonEnd, HandOverNext, WAY_ALLOWANCE},
@@ -41,4 +42,5 @@
         PlatformRequest, PlatformTerms, Selected,
     },
     refusal::{MayHaveRun, Refusal},
+    stopping::Stop,
 };
--- a/crates/oriolehoist_forwarding/src/platform/hand_over.rs
+++ b/crates/oriolehoist_forwarding/src/platform/hand_over.rs
@@ -22,6 +22,9 @@
     }
 
     fn next_daemon(&self, now: Millis) -> HandOverNext {
+        if let Err(refusal) = self.check_stop(now, None) {
+            return HandOverNext::Refuse(refusal);
+        }
         match self.daemon_tries.check(self.progress.remaining(now)) {
             Ok(()) => HandOverNext::ChooseDaemon,
             Err(NoFurtherTry::Exhausted) => HandOverNext::NoPath,
--- a/crates/oriolehoist_forwarding/src/platform/mod.rs
+++ b/crates/oriolehoist_forwarding/src/platform/mod.rs
@@ -12,6 +12,7 @@
         hand_over::DaemonTries,
         progress::Progress,
         refusal::{MayHaveRun, Refusal},
+        stopping::Stop,
     },
     oriolehoist_refusal::RefusalKind,
     oriolehoist_time::Millis,
@@ -32,7 +33,7 @@
 /// The state of a request with servers named by `S`.
 #[derive(Clone, Debug)]
 pub struct PlatformRequest<S> {
-    terms: PlatformTerms,
+    pub(crate) terms: PlatformTerms,
     progress: Progress,
     /// The selected server.
     server: Option<S>,
@@ -54,6 +55,8 @@
     hold_ends: Option<Millis>,
     /// Whether the daemon lets the request wait for its server's queue no more.
     is_hold_denied: bool,
+    /// The stop of the daemon, if it is stopping.
+    pub(crate) stop: Option<Stop>,
 }
 
 impl<S: Clone + PartialEq> PlatformRequest<S> {
@@ -75,6 +78,7 @@
             given_attempts: 0,
             hold_ends: None,
             is_hold_denied: false,
+            stop: None,
         }
     }
 
@@ -146,7 +150,9 @@
     /// Returns the next step of a request that may not.
     pub fn admit(&mut self, now: Millis, gates: &mut impl Gates) -> Result<(), PlatformNext> {
         gates.count();
-        self.check_load(now, gates.expected_load())?;
+        let load = gates.expected_load();
+        self.check_stop(now, Some(load.latency)).map_err(PlatformNext::Refuse)?;
+        self.check_load(now, load)?;
         gates.pass_quarantine().map_err(|refusal| self.refuse(refusal))?;
         match gates.take_from_rate_limit() {
             Ok(()) => {}
--- a/crates/oriolehoist_refusal/src/kind.rs
+++ b/crates/oriolehoist_refusal/src/kind.rs
@@ -30,6 +30,9 @@
     /// The daemon has no settings yet.
     #[display("not-ready")]
     NotReady,
+    /// The daemon stops before the request would end.
+    #[display("stopping")]
+    Stopping,
     /// The queue for the server is full.
     #[display("overloaded")]
     Overloaded,
@@ -99,13 +102,14 @@
 
 impl RefusalKind {
     /// All kinds.
-    pub const ALL: [RefusalKind; 16] = [
+    pub const ALL: [RefusalKind; 17] = [
         RefusalKind::Malformed,
         RefusalKind::MissingKey,
         RefusalKind::TooLarge,
         RefusalKind::SlowSender,
         RefusalKind::UnknownService,
         RefusalKind::NotReady,
+        RefusalKind::Stopping,
         RefusalKind::Overloaded,
         RefusalKind::Deadline,
         RefusalKind::OwnerLost,
@@ -137,6 +141,7 @@
             RefusalKind::NotReady => {
                 row(503, NotRun, after(1000), "The daemon has no settings yet.")
             }
+            RefusalKind::Stopping => row(503, NotRun, after(500), "The daemon is stopping."),
             RefusalKind::Overloaded => {
                 row(503, NotRun, after(500), "The servers have too much to do.")
             }
--- a/crates/oriolehoist_testkit/src/users_platform/daemon.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/daemon.rs
@@ -132,6 +132,11 @@
         Ok(())
     }
 
+    /// Sends the daemon SIGTERM, without waiting for its exit.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
     /// Shuts the daemon down with SIGTERM, and waits until it has exited. Returns `None` if it was
     /// not running.
     ///
--- a/crates/oriolehoist_testkit/src/users_platform/deployment.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/deployment.rs
@@ -54,6 +54,9 @@
 /// How long the servers take to run a request.
 const SERVICE_TIME: Duration = Duration::from_millis(10);
 
+/// The timeout and the latency objective of all routes, unless a test chooses others.
+const ROUTE_TIMES: [Duration; 2] = [Duration::from_millis(1500), Duration::from_millis(600)];
+
 /// The port of the proxies in front of servers.
 pub(super) const PROXY_PORT: u16 = 8081;
 
@@ -89,6 +92,8 @@
     version: u32,
     /// The fields `warmup_s` and `warmup_per_s` of both services.
     pub(super) warm_up: [Value; 2],
+    /// The timeout and the latency objective of all routes.
+    pub(super) route_times: [Duration; 2],
 }
 
 impl Deployment {
@@ -179,6 +184,7 @@
             evacuation_bound: servers.evacuation_bound,
             version: 0,
             warm_up: [Value::Null, Value::Null],
+            route_times: ROUTE_TIMES,
         };
         deployment.publish_configuration();
         for index in 0..servers.keyed + servers.plain {
@@ -209,10 +215,11 @@
     /// Writes the next version of the configuration to the store, and returns its number.
     pub fn publish_configuration(&mut self) -> u32 {
         self.version += 3;
+        let [timeout, slo] = self.route_times.map(|time| time.as_millis() as u64);
         let routes = [
-            json!(["k", HOST, "/k/", "idempotent", 1500, 600, 2, null, 2, "keyed"]),
-            json!(["b", HOST, "/b/", "non_idempotent", 1500, 600, 1, null, 2, "keyed"]),
-            json!(["p", HOST, "/p/", "idempotent", 1500, 600, 2, null, 2, "plain"]),
+            json!(["k", HOST, "/k/", "idempotent", timeout, slo, 2, null, 2, "keyed"]),
+            json!(["b", HOST, "/b/", "non_idempotent", timeout, slo, 1, null, 2, "keyed"]),
+            json!(["p", HOST, "/p/", "idempotent", timeout, slo, 2, null, 2, "plain"]),
         ];
         let [seconds, per_second] = &self.warm_up;
         let config = json!({
--- a/crates/oriolehoist_testkit/src/users_platform/warm_up.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/warm_up.rs
@@ -1,6 +1,7 @@
 use {
     crate::users_platform::{Deployment, Server, deployment::registration},
     serde_json::Value,
+    std::time::Duration,
 };
 
 impl Deployment {
@@ -10,6 +11,12 @@
         self.publish_configuration();
     }
 
+    /// Writes a configuration with this timeout and this latency objective of all routes.
+    pub fn publish_route_times(&mut self, timeout: Duration, latency_objective: Duration) {
+        self.route_times = [timeout, latency_objective];
+        self.publish_configuration();
+    }
+
     /// Updates a server's registration with this field `warmup_left_ms`.
     pub fn register_warm_up(&self, server: &Server, service: &str, left_ms: impl Into<Value>) {
         let mut entry = registration(
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -25,5 +25,6 @@
 mod servers;
 mod silent_connections;
 mod stopping;
+mod stops_with_long_work;
 mod store;
 mod store_outages;
