Return handed-over requests that a stop would cut off

Cause: a stopping daemon took requests of other daemons that it expected to end, though these can ask another daemon at once. If the work was longer than before, the caller got 504, outcome unknown. Change: a request that was handed over is taken only if its deadline passes before the exit.

--- a/crates/oriolehoist_forwarding/src/stopping.rs
+++ b/crates/oriolehoist_forwarding/src/stopping.rs
@@ -65,7 +65,12 @@
     ///
     /// Returns the refusal of a request that may be cut off.
     pub fn check_stop(&self, now: Millis, expected_latency: Option<Millis>) -> Result<(), Refusal> {
-        let Some(stop) = self.stop else { return Ok(()) };
+        let stop = match self.stop {
+            None => return Ok(()),
+            // The daemon that has handed it over asks another one at once.
+            Some(stop) if self.terms.is_handed_over => Stop { callers_leave: now, ..stop },
+            Some(stop) => stop,
+        };
         let checked = stop.check(now, self.terms.deadline, expected_latency);
         checked.map_err(|refusal| self.finish(refusal))
     }
--- a/crates/oriolehoist_forwarding/tests/stopping.rs
+++ b/crates/oriolehoist_forwarding/tests/stopping.rs
@@ -8,6 +8,18 @@
 };
 
 const STOP: Stop = Stop { callers_leave: Millis(12_200), exits: Millis(15_150) };
+const TERMS: PlatformTerms = PlatformTerms {
+    is_keyed: false,
+    is_idempotent: true,
+    is_handed_over: false,
+    deadline: Millis(20_000),
+    objective_ends: Millis(20_000),
+    latency_objective: Millis(10_000),
+    max_attempts: 3,
+    headroom: None,
+    reserved_wait: None,
+    may_exceed_headroom: false,
+};
 
 fn refusal(result: std::result::Result<(), Refusal>) -> Option<(RefusalKind, Option<Millis>)> {
     result.err().map(|refusal| (refusal.kind, refusal.retry_after))
@@ -38,21 +50,21 @@
     }
 }
 
+#[gtest]
+fn a_request_of_another_daemon_is_taken_only_if_its_deadline_passes_before_the_exit() {
+    for (deadline, kind) in [(15_050, None), (15_051, Some(RefusalKind::Stopping))] {
+        let deadline = Millis(deadline);
+        let terms = PlatformTerms { is_handed_over: true, deadline, ..TERMS };
+        let mut request = PlatformRequest::<u32>::new(terms);
+        request.set_stop(Some(STOP));
+        let refused = refusal(request.check_stop(Millis(10_000), Some(Millis(10))));
+        expect_that!(refused.map(|refused| refused.0), eq(kind));
+    }
+}
+
 #[gtest]
 fn a_request_that_may_have_run_is_not_refused_as_not_run() {
-    let terms = PlatformTerms {
-        is_keyed: false,
-        is_idempotent: true,
-        is_handed_over: false,
-        deadline: Millis(20_000),
-        objective_ends: Millis(20_000),
-        latency_objective: Millis(10_000),
-        max_attempts: 3,
-        headroom: None,
-        reserved_wait: None,
-        may_exceed_headroom: false,
-    };
-    let mut request = PlatformRequest::<u32>::new(terms);
+    let mut request = PlatformRequest::<u32>::new(TERMS);
     expect_that!(request.check_stop(Millis(13_000), None), ok(()));
     request.set_stop(Some(STOP));
     let refused = refusal(request.check_stop(Millis(13_000), None));
--- a/tests/users_platform/stops_with_long_work.rs
+++ b/tests/users_platform/stops_with_long_work.rs
@@ -3,10 +3,12 @@
 use {
     crate::load::*,
     googletest::prelude::*,
-    oriolehoist_testkit::users_platform::*,
+    oriolehoist_testkit::{fault::Fault, users_platform::*},
     std::{
         collections::HashMap,
         net::SocketAddr,
+        path::Path,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
@@ -203,7 +205,9 @@
     route_timeout: Duration,
     service_time: Duration,
 ) -> eyre::Result<Deployment> {
-    let mut deployment = deployment(daemons, 4, 4).await?;
+    let program = Path::new(env!("CARGO_BIN_EXE_oriolehoist"));
+    let mut deployment =
+        Deployment::start_behind_proxies(program, daemons, 4, 4, DRAIN_PERIOD).await?;
     deployment.publish_route_times(route_timeout, route_timeout);
     for server in &deployment.servers {
         server.set_faults(ServerFaults { service_time, ..ServerFaults::default() });
@@ -299,3 +303,48 @@
     }
     Ok(())
 }
+
+// The daemon that has taken them from their callers is not stopping.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_handed_over_to_a_stopping_daemon_are_not_cut() -> eyre::Result<()> {
+    let mut deployment = working(3, millis(9000), millis(10)).await?;
+    let ip = deployment.daemons[0].peer_address.ip();
+    for server in 0..8 {
+        deployment.network.add_fault(Some(ip), &server_edge(server), Fault::Reset);
+    }
+    let address = deployment.daemons[0].caller_address;
+    let load = Load::start(vec![address], "learn")?;
+    sleep(SECOND).await;
+    load.finish().await;
+    let client = Arc::new(Client::new(HOST, "handed-over")?);
+    let long_work = ServerFaults { service_time: WORK, ..ServerFaults::default() };
+    deployment.servers.iter().for_each(|server| server.set_faults(long_work.clone()));
+    let mut bookings = JoinSet::new();
+    let mut stopping = deployment.daemons.remove(1);
+    let stopping = tokio::spawn(async move {
+        sleep(SECOND).await;
+        stopping.stop().await
+    });
+    for index in 0..20_u16 {
+        let client = Arc::clone(&client);
+        bookings.spawn(async move {
+            let (method, key) = (reqwest::Method::POST, index * 3276);
+            client.send(address, method, "/b/a", Some(key), millis(9000)).await
+        });
+        sleep(millis(250)).await;
+    }
+    stopping.await??;
+    let responses = bookings.join_all().await;
+    let count = |status| responses.iter().filter(|response| response.status == status).count();
+    let (served, refused) = (count(Some(200)), count(Some(503)));
+    println!("{served} served, {refused} refused as not run, of {}", responses.len());
+    for response in &responses {
+        expect_that!(response.status, any![some(eq(200)), some(eq(503))], "{response:?}");
+    }
+    expect_that!(served, ge(responses.len() / 2));
+    let responses: Responses = responses.into_iter().map(|response| (response, "/b/a")).collect();
+    check_invariants(&deployment, &responses);
+    clean_up(deployment);
+    Ok(())
+}
