Test a stop of the assigner while keys move

Not tried so far: requests that wait for keys that move while a daemon stops. No logic is changed; the test was not run on earlier code.

--- a/tests/users_platform/stops_with_long_work.rs
+++ b/tests/users_platform/stops_with_long_work.rs
@@ -348,3 +348,19 @@
     clean_up(deployment);
     Ok(())
 }
+
+// A move takes as long as the work at the owner that drains.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_for_keys_that_move_are_not_cut_by_a_stop() -> eyre::Result<()> {
+    for service_time in [WORK, millis(10)] {
+        let mut deployment = working(2, millis(9000), service_time).await?;
+        for server in &deployment.servers[..2] {
+            deployment.register(server, "keyed", "draining");
+        }
+        let assigner = assigner_index(&deployment);
+        check_stop(&mut deployment, assigner, millis(9000), 1).await?;
+        clean_up(deployment);
+    }
+    Ok(())
+}
