Let daemons measure the delay of their messages before servers are cold

Messages about cold servers are the only ones with a time of sending, and none was sent while no server was cold. If the machines were slow already when one turned cold, the first message seemed to be on time. A daemon that has nothing to report now sends an empty message every second to each daemon that it reports to.

Not measured with real daemons.

--- a/crates/oriolehoist_edge/src/control/cold_servers.rs
+++ b/crates/oriolehoist_edge/src/control/cold_servers.rs
@@ -30,6 +30,9 @@
 const RELAYED_INTERVAL: Duration = Duration::from_millis(100);
 /// The time after which a daemon repeats what it has reported. A few reports may be lost.
 const REPEAT_INTERVAL: Millis = Millis(200);
+/// The time after which a daemon sends an empty message, so that the receivers know how long messages
+/// usually take before a server is cold.
+const IDLE_INTERVAL: Millis = Millis(1000);
 /// The maximum number of servers in a message, which then has about 1,100 bytes.
 const MAX_SERVERS_PER_DATAGRAM: usize = 25;
 /// About the maximum number of messages that a daemon sends at a time, so that a relay of many daemons
@@ -60,6 +63,7 @@
     received: Arc<Mutex<ReceivedCold>>,
 ) {
     let mut sent: HashMap<(IpAddr, u32), Sent> = HashMap::new();
+    let mut last_message: HashMap<IpAddr, Millis> = HashMap::new();
     let mut turn = 0;
     loop {
         let is_relayed = matches!(&*cx.load_peers(), LoadPeers::Relayed { .. });
@@ -68,9 +72,6 @@
         let now = cx.clock.now();
         sent.retain(|_, sent| now.since(sent.at) < REPEAT_INTERVAL);
         let own = own_reports(&view, now);
-        if own.is_empty() {
-            continue;
-        }
         let peers = cx.load_peers();
         let (up, down) = match &*peers {
             LoadPeers::Relayed { up, down } => (up.as_slice(), down.as_slice()),
@@ -82,6 +83,7 @@
         let is_child = |from: &IpAddr| down.iter().any(|child| child.ip() == *from);
         let mut receivers: Vec<(IpAddr, bool)> = up.iter().map(|peer| (peer.ip(), true)).collect();
         receivers.extend(down.iter().map(|child| (child.ip(), false)));
+        last_message.retain(|to, _| view.peer_ips.contains(to));
         // Who gets nothing this time, since there is too much to send, is the first next time.
         let count = receivers.len().max(1);
         receivers.rotate_left(turn % count);
@@ -97,7 +99,14 @@
                 let last = sent.get(&(to, report.server));
                 last.is_none_or(|last| Sent::of(report, last.at) != *last)
             });
+            let last = last_message.get(&to).copied().unwrap_or_default();
+            if due.is_empty() && now.since(last) >= IDLE_INTERVAL {
+                last_message.insert(to, now);
+                send(&cx, &socket, now, SocketAddr::new(to, port), &[]).await;
+                datagrams += 1;
+            }
             for part in due.chunks(MAX_SERVERS_PER_DATAGRAM) {
+                last_message.insert(to, now);
                 sent.extend(part.iter().map(|report| ((to, report.server), Sent::of(report, now))));
                 send(&cx, &socket, now, SocketAddr::new(to, port), part).await;
                 datagrams += 1;
