--- /dev/null
+++ b/crates/oriolehoist_admission/tests/report_lateness.rs
@@ -0,0 +1,42 @@
+//! How late the messages of other daemons arrive, by their clocks.
+
+use {googletest::prelude::*, oriolehoist_admission::ReportLateness, oriolehoist_time::Millis};
+
+fn measure(lateness: &mut ReportLateness<u8>, now: u64, run: u32, sent_at: u64) -> u64 {
+    lateness.measure(Millis(now), 1, run, Millis(sent_at)).0
+}
+
+#[gtest]
+fn two_late_messages_in_a_row_tell_by_how_much_they_are_late() {
+    let mut lateness = ReportLateness::default();
+    expect_that!(measure(&mut lateness, 5020, 1, 1000), eq(0));
+    expect_that!(measure(&mut lateness, 5420, 1, 1100), eq(0));
+    expect_that!(measure(&mut lateness, 5520, 1, 1200), eq(300));
+    expect_that!(measure(&mut lateness, 5330, 1, 1300), eq(10));
+    // A new process counts its own time.
+    expect_that!(measure(&mut lateness, 6000, 2, 50), eq(0));
+}
+
+/// Guards against clocks that drift apart, which look like ever later messages.
+#[gtest]
+fn clocks_that_drift_apart_do_not_make_messages_late() {
+    let mut lateness = ReportLateness::default();
+    for second in 1..36_000 {
+        let now = second * 1000;
+        let late = measure(&mut lateness, now + 20, 1, now - now / 20_000);
+        expect_that!(late, le(10), "after {second} s");
+    }
+}
+
+/// Guards against an overflow by a malformed message.
+#[gtest]
+fn any_time_of_sending_is_handled() {
+    for first in [0, u64::MAX, i64::MAX as u64, 1 << 63] {
+        for second in [0, u64::MAX, i64::MAX as u64, 1 << 63] {
+            let mut lateness = ReportLateness::default();
+            measure(&mut lateness, 5000, 1, first);
+            measure(&mut lateness, 5100, 1, second);
+            expect_that!(measure(&mut lateness, 5200, 1, first), le(10_000));
+        }
+    }
+}
