--- a/crates/oriolehoist_forwarding/tests/stopping.rs
+++ b/crates/oriolehoist_forwarding/tests/stopping.rs
@@ -2,7 +2,9 @@
 
 use {
     googletest::prelude::*,
-    oriolehoist_forwarding::{AttemptEnd, PlatformRequest, PlatformTerms, Refusal, Stop},
+    oriolehoist_forwarding::{
+        AttemptEnd, HandOverNext, PlatformRequest, PlatformTerms, Refusal, Stop,
+    },
     oriolehoist_refusal::RefusalKind,
     oriolehoist_time::Millis,
 };
@@ -62,6 +64,18 @@
     }
 }
 
+#[gtest]
+fn a_request_that_may_be_cut_is_not_handed_over() {
+    let mut request = PlatformRequest::<u32>::new(TERMS);
+    request.set_stop(Some(STOP));
+    expect_that!(request.start_hand_over(Millis(12_199)), eq(HandOverNext::ChooseDaemon));
+    let kind = match request.start_hand_over(Millis(12_200)) {
+        HandOverNext::Refuse(refusal) => Some(refusal.kind),
+        _ => None,
+    };
+    expect_that!(kind, some(eq(RefusalKind::Stopping)));
+}
+
 #[gtest]
 fn a_request_that_may_have_run_is_not_refused_as_not_run() {
     let mut request = PlatformRequest::<u32>::new(TERMS);
