Take the end of a limit for said no later than it can have been

What callers would see: a server that names a limit gets its usual requests until its next response names it again. Cause: a report that a server has no limit any more was dated by the arrival less its age, which leaves out the time that it took, so it counted as said later than it was and ended a limit that the server had named since. Change: the end of a limit is dated earlier by the delay of reports, with their measured lateness. Result: a_report_that_took_its_time_does_not_end_a_limit_that_was_named_after_it fails without the change, and passes with it.

--- a/crates/oriolehoist_admission/src/rate_limit/exchange.rs
+++ b/crates/oriolehoist_admission/src/rate_limit/exchange.rs
@@ -22,6 +22,12 @@
     pub fn on_group_report(&mut self, now: Millis, from: K, group: GroupReport) -> bool {
         let GroupReport { report, daemons } = group;
         let stated_at = now.since(report.age);
+        // The time that the report took is not known. That a limit has ended must not count as said later
+        // than it was, or it ends one that was named after that.
+        let stated_at = match report.limit {
+            Some(_) => stated_at,
+            None => stated_at.since(self.report_delay(now)),
+        };
         let changed = stated_at > self.stated_at && self.set_limit(now, stated_at, report.limit);
         self.refill(now);
         let new = self.peers.on_limit_report(now, from, report.counts, daemons);
--- a/crates/oriolehoist_admission/tests/rate_limit.rs
+++ b/crates/oriolehoist_admission/tests/rate_limit.rs
@@ -389,3 +389,18 @@
     let alone = alone.filter(|now| limit.try_take(*now, 0, random.f64()).is_ok()).count();
     expect_that!(alone, all![ge(14), le(30)]);
 }
+
+/// Guards against a limit that is ended by a report of what the server said before it named the limit.
+#[gtest]
+fn a_report_that_took_its_time_does_not_end_a_limit_that_was_named_after_it() {
+    let mut limit = SharedRateLimit::default();
+    limit.set_daemons(Some(82));
+    limit.set_report_delay(Millis(350));
+    limit.on_response(Millis(10_050), Millis(10_000), Some(10.0));
+    let ended = RateReport { limit: None, age: Millis(100), counts: RequestCounts::default() };
+    limit.on_report(Millis(10_300), 0, ended);
+    expect_that!(limit.limit(), some(eq(10.0)));
+    // Later, the same age is that of a later statement.
+    limit.on_report(Millis(10_600), 0, ended);
+    expect_that!(limit.limit(), none());
+}
