Forget the fastest message of a sender after two minutes

Cause: found in review. The fastest message so far shows the difference of two clocks. A clock that was corrected by a second afterwards made all messages look a second late for hours, so that cold servers got a part of their rate. Change: the fastest message of the last one to two minutes counts. Lateness that lasts longer counts as usual.

--- a/crates/oriolehoist_admission/src/reports.rs
+++ b/crates/oriolehoist_admission/src/reports.rs
@@ -8,8 +8,9 @@
 /// total does not fall.
 const GROUP_RETENTION: Millis = Millis(60_000);
 
-/// By how much the clocks of two machines drift apart, as one of this many parts of the time.
-const MAX_CLOCK_DRIFT_DIVISOR: u64 = 10_000;
+/// The time for which the fastest message of a sender counts at least, and twice that at most. Clocks that
+/// drift apart, or are corrected, make all later ones look late meanwhile.
+const FASTEST_RETENTION: Millis = Millis::from_secs(60);
 
 /// The highest lateness that is assumed.
 const MAX_LATENESS: Millis = Millis(10_000);
@@ -34,13 +35,16 @@
     by_sender: HashMap<K, LeastDelay>,
 }
 
-/// The shortest way of a message of one run of a sender.
+/// The shortest ways of messages of one run of a sender: the time of arrival less that of sending, on two
+/// clocks, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct LeastDelay {
     run: u32,
-    /// The time of arrival less that of sending, on two clocks, in milliseconds.
+    /// Since `since`.
     offset: i64,
-    arrived_at: Millis,
+    since: Millis,
+    /// In the period before.
+    earlier_offset: i64,
     /// How much longer the last message took.
     last: Millis,
 }
@@ -56,13 +60,18 @@
     /// sender. A single one may be late by chance.
     pub fn measure(&mut self, now: Millis, from: K, run: u32, sent_at: Millis) -> Millis {
         let offset = (now.0 as i64).saturating_sub(sent_at.0 as i64);
-        let new = LeastDelay { run, offset, arrived_at: now, last: Millis::ZERO };
+        let new =
+            LeastDelay { run, offset, since: now, earlier_offset: i64::MAX, last: Millis::ZERO };
         let least = self.by_sender.entry(from).or_insert(new);
-        let drift = now.since(least.arrived_at).0 / MAX_CLOCK_DRIFT_DIVISOR;
-        if least.run != run || offset <= least.offset.saturating_add(drift as i64) {
+        if least.run != run {
             *least = new;
         }
-        let late = Millis(offset.saturating_sub(least.offset) as u64).min(MAX_LATENESS);
+        if now.since(least.since) >= FASTEST_RETENTION {
+            *least = LeastDelay { earlier_offset: least.offset, last: least.last, ..new };
+        }
+        least.offset = least.offset.min(offset);
+        let late = offset.saturating_sub(least.offset.min(least.earlier_offset));
+        let late = Millis(late.unsigned_abs()).min(MAX_LATENESS);
         std::mem::replace(&mut least.last, late).min(late)
     }
 
--- a/crates/oriolehoist_admission/tests/report_lateness.rs
+++ b/crates/oriolehoist_admission/tests/report_lateness.rs
@@ -40,3 +40,15 @@
         }
     }
 }
+
+/// Guards against messages that look late for hours after a clock was corrected.
+#[gtest]
+fn messages_are_not_late_for_long_after_a_clock_was_corrected() {
+    let mut lateness = ReportLateness::default();
+    let mut late = 0;
+    for now in (0..3_600_000).step_by(5000) {
+        let gained = if now < 60_000 { 0 } else { 1000 };
+        late = measure(&mut lateness, 10_000 + now + gained, 1, now);
+    }
+    expect_that!(late, eq(0));
+}
