Let the size of the fleet be forgotten everywhere at the same time

Cause: found in review. And a number that had become smaller by the passing of time was not published until something else was, so limits were shared among daemons that were gone. Change: the number goes with its age (FleetNews). A daemon publishes a view as soon as the number differs from that of the last one. Two more findings in the same files: registrations are ordered by their revisions, so a later one ends a cold period that the one before it stated; the keys of servers are counted only if the routes changed. The rates of cold servers moved to backend_warm_up.rs.

--- a/crates/oriolehoist_admission/src/warm_up.rs
+++ b/crates/oriolehoist_admission/src/warm_up.rs
@@ -135,8 +135,22 @@
     /// Records that the server said for how long it is still cold, in a statement made no earlier
     /// than `made_after`. It settles what was presumed because of earlier events.
     pub fn on_statement(&mut self, now: Millis, made_after: Millis, remaining: Millis, event: u32) {
+        self.on_statement_after(now, made_after, remaining, event, None);
+    }
+
+    /// Records the same, made later than the statement `previous`.
+    pub fn on_statement_after(
+        &mut self,
+        now: Millis,
+        made_after: Millis,
+        remaining: Millis,
+        event: u32,
+        previous: Option<u32>,
+    ) {
         // Of one that may have been made before the last one was received, the order is not known.
-        let is_latest = self.statement.is_none_or(|statement| statement.received_at <= made_after);
+        let is_latest = self.statement.is_none_or(|statement| {
+            statement.received_at <= made_after || Some(statement.event) == previous
+        });
         let cold_until = now + remaining.min(MAX_WARM_UP);
         let settles = |presumption: &Presumption| presumption.at <= made_after;
         let settled = self.presumption.filter(settles);
--- a/crates/oriolehoist_admission/tests/warm_up.rs
+++ b/crates/oriolehoist_admission/tests/warm_up.rs
@@ -284,3 +284,12 @@
     expect_that!(warm_up.take_change(Millis(1100)), none());
     expect_that!(warm_up.take_change(Millis(4000)), some(eq(false)));
 }
+
+/// Guards against registrations that are taken for unordered: their revisions order them.
+#[gtest]
+fn a_registration_ends_the_cold_period_that_the_one_before_it_stated() {
+    let mut server = warm_up();
+    server.on_statement(Millis(1000), Millis(990), Millis(3000), 7);
+    server.on_statement_after(Millis(1100), Millis(990), Millis::ZERO, 8, Some(7));
+    expect_that!(is_cold(&server, 1100), eq(false));
+}
--- a/crates/oriolehoist_edge/src/connection/backend_warm_up.rs
+++ b/crates/oriolehoist_edge/src/connection/backend_warm_up.rs
@@ -3,11 +3,25 @@
 use {
     crate::{connection::Backend, process::lock},
     oriolehoist_admission::WarmUpPolicy,
-    oriolehoist_port::{RegisteredServer, Revision},
+    oriolehoist_port::{OperationalBounds, RegisteredServer, Revision, ServerWarmUp},
     oriolehoist_time::Millis,
     std::hash::{DefaultHasher, Hash, Hasher},
 };
 
+/// How many times the rate that a cold server takes it gets if the agreed factor makes no sense.
+const DEFAULT_WARM_UP_FACTOR: f64 = 1.0;
+
+/// Returns what cold servers get. A bound that makes no sense counts as its default.
+pub(crate) fn warm_up_policy(bounds: &OperationalBounds, warm_up: ServerWarmUp) -> WarmUpPolicy {
+    let or = |value: f64, default| if value.is_finite() && value > 0.0 { value } else { default };
+    let factor = or(bounds.warm_up_factor, DEFAULT_WARM_UP_FACTOR);
+    WarmUpPolicy {
+        duration: warm_up.duration,
+        rate: warm_up.requests_per_second * factor,
+        slack: or(bounds.warm_up_slack, 0.0),
+    }
+}
+
 /// The last registration of a server that was observed.
 #[derive(Debug)]
 pub(super) struct ObservedRegistration {
@@ -76,9 +90,12 @@
             return;
         }
         let now = self.clock.now();
-        let mut hasher = DefaultHasher::new();
-        (self.short_id, revision.0).hash(&mut hasher);
-        let event = hasher.finish() as u32;
+        let event_of = |revision: Revision| {
+            let mut hasher = DefaultHasher::new();
+            (self.short_id, revision.0).hash(&mut hasher);
+            hasher.finish() as u32
+        };
+        let (event, previous) = (event_of(revision), known.revision.map(event_of));
         let is_first = known.revision.replace(revision).is_none();
         let is_back = std::mem::take(&mut known.is_gone);
         let is_stated = remaining != RegisteredServer::WARM_UP_UNSTATED;
@@ -93,7 +110,9 @@
             {
                 warm_up.presume(now, self.short_id);
             }
-            _ if is_stated => warm_up.on_statement(now, written_after, remaining, event),
+            _ if is_stated => {
+                warm_up.on_statement_after(now, written_after, remaining, event, previous);
+            }
             _ if is_back => warm_up.presume(now, event),
             _ => {}
         }
--- a/crates/oriolehoist_edge/src/connection/mod.rs
+++ b/crates/oriolehoist_edge/src/connection/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use {
     backend::{Backend, BackendContext, Backends},
     backend_probe::ProbeRun,
+    backend_warm_up::warm_up_policy,
     callers::serve_callers,
     client::{HttpClient, HttpClientOptions},
     client_connection::{
--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -202,7 +202,7 @@
         if !matches!(self.role, Role::Assigner(_)) {
             self.cx.metrics.set_evacuated_keys(0);
         }
-        if self.expire_evacuations() {
+        if self.expire_evacuations() || self.state.is_fleet_size_outdated(now) {
             self.state.publish(&self.cx);
         }
         if self.state.expire_servers(&self.cx) {
@@ -247,9 +247,7 @@
     fn update_members(&mut self) {
         let now = self.now();
         let Role::Assigner(_) = &self.role else { return };
-        if self.state.observe_fleet(now, self.registered_members.len()) {
-            self.state.publish(&self.cx);
-        }
+        self.state.fleet.observe(now, self.registered_members.len());
         let mut members = self.registered_members.clone();
         members.retain(|member| {
             member.is_same_run(&self.local)
--- a/crates/oriolehoist_edge/src/control/cluster_state.rs
+++ b/crates/oriolehoist_edge/src/control/cluster_state.rs
@@ -1,20 +1,19 @@
 use {
     crate::{
-        connection::Backends,
-        control::message::{ConfigSource, Member, RouteEntry, RouteKey, SyncMessage, Versions},
+        connection::{Backends, warm_up_policy},
+        control::{
+            key_moves::KeyMoves,
+            message::{ConfigSource, Member, RouteEntry, RouteKey, SyncMessage, Versions},
+        },
         process::Shared,
         version::{View, ViewParts},
     },
     bytes::Bytes,
-    oriolehoist_admission::WarmUpPolicy,
     oriolehoist_evacuation::EvacuatedZones,
     oriolehoist_fleet::{FleetSize, MAX_DIRECT},
-    oriolehoist_keyspace::{HeldKeys, KeyRoutes, RoutedRange, ServerIncarnation},
+    oriolehoist_keyspace::{KeyRoutes, RoutedRange, ServerIncarnation},
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{
-        Configuration, KeyRange, OperationalBounds, RegisteredServer, Revision, ServerState,
-        ServerWarmUp,
-    },
+    oriolehoist_port::{Configuration, KeyRange, RegisteredServer, Revision, ServerState},
     oriolehoist_registry::{Registry, RegistryVersion},
     oriolehoist_replica::{MapUpdate, ReplicatedMap, TermVersion},
     oriolehoist_time::Millis,
@@ -42,9 +41,6 @@
 /// assigner's lease, which confirms it while a watch waits, has missed a renewal.
 const CONFIG_NOTICED_LATE_AFTER: Millis = Millis(800);
 
-/// How many times the rate that a cold server takes it gets if the agreed factor makes no sense.
-const DEFAULT_WARM_UP_FACTOR: f64 = 1.0;
-
 /// The cluster state known to a daemon, with a version for each part. No part is replaced by an
 /// older version.
 #[derive(Default)]
@@ -71,26 +67,16 @@
     pub(crate) routes: ReplicatedMap<RouteKey, RouteEntry>,
     /// The same routes by service.
     key_routes: BTreeMap<SmolStr, KeyRoutes>,
-    /// The keys of each server, by service, as of the last view.
-    pub(super) held_keys: BTreeMap<SmolStr, HeldKeys>,
+    pub(super) key_moves: KeyMoves,
     pub(crate) members: ReplicatedMap<SmolStr, Member>,
     pub(crate) evacuations: EvacuatedZones,
     /// The number of daemons, with those that don't respond.
     pub(super) fleet: FleetSize,
+    /// The size of the fleet in the last view.
+    pub(super) published_fleet_size: Option<usize>,
     backends: Backends,
 }
 
-/// Returns what cold servers get. A bound that makes no sense counts as its default.
-fn warm_up_policy(bounds: &OperationalBounds, warm_up: ServerWarmUp) -> WarmUpPolicy {
-    let or = |value: f64, default| if value.is_finite() && value > 0.0 { value } else { default };
-    let factor = or(bounds.warm_up_factor, DEFAULT_WARM_UP_FACTOR);
-    WarmUpPolicy {
-        duration: warm_up.duration,
-        rate: warm_up.requests_per_second * factor,
-        slack: or(bounds.warm_up_slack, 0.0),
-    }
-}
-
 impl ClusterState {
     /// Returns the versions of all parts.
     pub(crate) fn versions(&self) -> Versions {
@@ -341,6 +327,7 @@
         let backends =
             self.backends.update(cx.backend_context(), &self.servers, &self.draining_since);
         let fleet_size = self.fleet.get(cx.clock.now());
+        self.published_fleet_size = fleet_size;
         let report_delay = match fleet_size {
             Some(0..=MAX_DIRECT_FLEET) => DIRECT_REPORT_DELAY,
             _ => RELAYED_REPORT_DELAY,
--- a/crates/oriolehoist_edge/src/control/fanout.rs
+++ b/crates/oriolehoist_edge/src/control/fanout.rs
@@ -238,7 +238,7 @@
                     .news(now, peer.confirmed.and_then(|confirmed| confirmed.evacuations)),
                 store: Some(self.cx.store_news(is_assigner)),
                 server_speeds: Vec::new(),
-                fleet_size: state.fleet_size(now),
+                fleet_size: state.fleet.news(now),
                 config: None,
                 servers: None,
                 routes: None,
--- a/crates/oriolehoist_edge/src/control/follower.rs
+++ b/crates/oriolehoist_edge/src/control/follower.rs
@@ -107,10 +107,12 @@
         if let Some(update) = sync.members {
             changed |= self.state.members.apply(update);
         }
-        // Older versions name only the daemons that respond.
-        let members = self.state.members.get().len();
-        let size = sync.fleet_size.map_or(members, |size| size as usize);
-        changed |= self.state.observe_fleet(self.now(), size);
+        match sync.fleet_size {
+            Some(news) => self.state.fleet.on_news(self.now(), news),
+            // Older versions name only the daemons that respond.
+            None => self.state.fleet.observe(self.now(), self.state.members.get().len()),
+        }
+        changed |= self.state.is_fleet_size_outdated(self.now());
         if changed {
             self.state.publish(&self.cx);
         }
@@ -136,7 +138,7 @@
             evacuations: state.evacuations.news(self.now(), None),
             store: Some(self.cx.store_news(true)),
             server_speeds: self.speeds.due(self.now(), &mut Cursor::default()),
-            fleet_size: state.fleet_size(self.now()),
+            fleet_size: state.fleet.news(self.now()),
             config: state.config.as_ref().map(|_| state.config_bytes.clone()),
             servers: Some(state.registry.changes_since(self.now(), Revision::default())),
             routes: Some(state.routes.update_since(TermVersion::default())),
--- a/crates/oriolehoist_edge/src/wire/state.rs
+++ b/crates/oriolehoist_edge/src/wire/state.rs
@@ -4,6 +4,7 @@
     bytes::Bytes,
     oriolehoist_backoff::StoreNews,
     oriolehoist_evacuation::{EvacuationNews, EvacuationVersion},
+    oriolehoist_fleet::FleetNews,
     oriolehoist_keyspace::{Holder, LoadReport},
     oriolehoist_port::InstanceSize,
     oriolehoist_protocol::Incarnation,
@@ -113,10 +114,9 @@
     /// the short ids of the servers. Missing in the messages of older versions.
     #[serde(default)]
     pub server_speeds: Vec<(u32, u32)>,
-    /// The number of daemons, with those that don't respond. Missing in the messages of older versions, and
-    /// if it is not known.
+    /// The number of daemons. Missing in the messages of older versions, and if it is not known.
     #[serde(default)]
-    pub fleet_size: Option<u32>,
+    pub fleet_size: Option<FleetNews>,
     /// The configuration as it is in the store.
     pub config: Option<Bytes>,
     /// The registered servers that changed.
--- a/crates/oriolehoist_edge/tests/mixed_builds/filled.rs
+++ b/crates/oriolehoist_edge/tests/mixed_builds/filled.rs
@@ -8,6 +8,7 @@
     oriolehoist_backoff::{CallFailure, StoreNews},
     oriolehoist_edge::wire::*,
     oriolehoist_evacuation::{EvacuationNews, EvacuationVersion},
+    oriolehoist_fleet::FleetNews,
     oriolehoist_port::{LeaseId, Revision, StoreEra},
     oriolehoist_time::Millis,
 };
@@ -52,7 +53,7 @@
             failures: vec![CallFailure { daemon: u64::MAX, age: Millis(900) }],
         }),
         server_speeds: vec![(7, 3100), (u32::MAX, 1)],
-        fleet_size: Some(u32::MAX),
+        fleet_size: Some(FleetNews { daemons: u32::MAX, age: Millis(700) }),
         config: old.config,
         servers: old.servers,
         routes: old.routes,
--- a/crates/oriolehoist_fleet/src/lib.rs
+++ b/crates/oriolehoist_fleet/src/lib.rs
@@ -23,6 +23,6 @@
     election::{Standing, claim_delay, election_delay},
     load_exchange::{LoadExchange, LoadNews, Source},
     relays::{Candidate, Group, MAX_DIRECT, Relays},
-    size::FleetSize,
+    size::{FleetNews, FleetSize},
     startup::table_read_delay,
 };
--- a/crates/oriolehoist_fleet/tests/size.rs
+++ b/crates/oriolehoist_fleet/tests/size.rs
@@ -34,6 +34,27 @@
     }
 }
 
+/// Guards against daemons that keep a size alive by telling it each other.
+#[gtest]
+fn a_size_that_is_passed_on_is_forgotten_everywhere_at_the_same_time() {
+    let mut daemons = vec![FleetSize::default(); 3];
+    daemons[0].observe(Millis(0), 82);
+    for now in (0..40_000).step_by(100).map(Millis) {
+        daemons[0].observe(now, 3);
+        for to in 1..=3 {
+            let news = daemons[to - 1].news(now).expect("it is known");
+            daemons[to % 3].on_news(now, news);
+        }
+        let expected = if now < Millis(30_000) { 82 } else { 3 };
+        // The first one is told last.
+        for daemon in &daemons {
+            if now != Millis(0) {
+                expect_that!(daemon.get(now), some(eq(expected)), "at {now:?}");
+            }
+        }
+    }
+}
+
 proptest! {
     #[test]
     fn it_is_the_largest_of_the_last_half_minute_or_the_last(
