Count only servers that can take a request as an alternative to a cold one

Cause: found in review. A request without a key counted as one that another server can take if any server was warm, though that one may have a limit, be left, at its connection limit or out of reach. Change: the same conditions as in the choice of a server. E4024 is written after the token is taken, so that refused requests cost nothing. Result: compiles and passes the tests of cold servers; the case itself has no test in the edge.

--- a/crates/oriolehoist_edge/src/request/rate_limit.rs
+++ b/crates/oriolehoist_edge/src/request/rate_limit.rs
@@ -40,7 +40,7 @@
     let rank = request.view.rank(&request.route);
     let now = cx.clock.now();
     let is_cold = is_cold(backend, now);
-    let is_spare = is_cold && is_spare(request, backend, now);
+    let is_spare = is_cold && is_spare(cx, request, backend, now);
     let availability = backend.availability().clone();
     // The lowest chance is always among the drawn ones, and the highest one only if all are.
     let admitted = take(&mut availability.rate_limit.clone(), now, rank, 0.0, is_spare);
@@ -54,14 +54,24 @@
     backend.availability().warm_up.cold_until(now).is_some()
 }
 
-/// Returns whether a server that is not cold can take the request as well.
-fn is_spare(request: &RoutedRequest, backend: &Backend, now: Millis) -> bool {
+/// Returns whether a server without a limit can take the request as well.
+fn is_spare(cx: &Shared, request: &RoutedRequest, backend: &Backend, now: Millis) -> bool {
     let servers = request.view.services.get(&request.service);
-    let is_warm = |other: &Backend| {
-        other.short_id != backend.short_id && other.admits_requests() && !is_cold(other, now)
+    let can_take = |other: &Backend| {
+        let availability = other.availability();
+        let is_limited = availability.rate_limit.limit().is_some();
+        let is_leaving = availability.leaving_for(now).is_some();
+        drop(availability);
+        other.short_id != backend.short_id
+            && !is_limited
+            && !is_leaving
+            && other.admits_requests()
+            && !other.is_address_reused(now)
+            && !other.is_at_connection_limit()
+            && !cx.paths().is_lost(other.short_id)
     };
     request.key.is_none()
-        && servers.is_some_and(|servers| servers.iter().any(|other| is_warm(other)))
+        && servers.is_some_and(|servers| servers.iter().any(|other| can_take(other)))
 }
 
 fn take<K: Eq + Hash>(
@@ -91,14 +101,15 @@
     let now = cx.clock.now();
     let cold_until = backend.availability().warm_up.cold_until(now);
     let is_cold = cold_until.is_some();
-    let is_spare = is_cold && is_spare(request, backend, now);
+    let is_spare = is_cold && is_spare(cx, request, backend, now);
     let mut availability = backend.availability();
-    let basis = cold_until.map(|until| (until.since(now).0, availability.rate_limit.basis(now)));
     let admitted = take(&mut availability.rate_limit, now, rank, fastrand::f64(), is_spare);
-    drop(availability);
-    match (admitted, basis) {
-        (Ok(()), Some((left, basis))) => {
-            let (id, server) = (request.id_text(), &backend.incarnation.id);
+    match (admitted, cold_until) {
+        (Ok(()), Some(until)) => {
+            let basis = availability.rate_limit.basis(now);
+            drop(availability);
+            let (id, server, left) =
+                (request.id_text(), &backend.incarnation.id, until.since(now).0);
             let text = format_args!("request={id} server={server} left_ms={left} {basis}");
             report(Event::ColdServerUsed, text);
         }
