--- a/crates/oriolehoist_admission/tests/cold_servers/idle_servers.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/idle_servers.rs
@@ -125,25 +125,44 @@
     }
 }
 
+/// Plays cold servers with keys that get no requests until all daemons have so many a second for each of
+/// them, and counts those from then on. `announced` is whether the daemons learn why.
+fn play_bursts_for_keys(demand: f64, announced: bool) -> Counted {
+    let mut counted = Counted::default();
+    for seed in 1..=4 {
+        let mut servers = serving_servers(&mut Rng::with_seed(seed), WARM_UP);
+        servers.iter_mut().for_each(|server| server.demand = 0.0);
+        let mut fleet = Fleet::new(servers, policy(A.0), seed);
+        let burst_at = Millis(5800);
+        fleet.run(Millis(3500), burst_at);
+        fleet.servers.iter_mut().for_each(|server| server.demand = demand);
+        for known in fleet.known.iter_mut().flatten().filter(|_| announced) {
+            known.availability.rate_limit.expect_burst();
+        }
+        fleet.run(burst_at, end_of(&fleet.servers));
+        counted.add(seed, &fleet.servers, burst_at);
+    }
+    counted
+}
+
 /// Guards against the same for requests that can go to no other server.
 #[gtest]
 fn cold_servers_with_keys_are_not_flooded_by_a_burst_after_a_pause() {
     for demand in [30.0, 100.0, 300.0] {
-        let mut counted = Counted::default();
-        for seed in 1..=4 {
-            let mut servers = serving_servers(&mut Rng::with_seed(seed), WARM_UP);
-            servers.iter_mut().for_each(|server| server.demand = 0.0);
-            let mut fleet = Fleet::new(servers, policy(A.0), seed);
-            let burst_at = Millis(5800);
-            fleet.run(Millis(3500), burst_at);
-            fleet.servers.iter_mut().for_each(|server| server.demand = demand);
-            fleet.run(burst_at, end_of(&fleet.servers));
-            counted.add(seed, &fleet.servers, burst_at);
-        }
+        let counted = play_bursts_for_keys(demand, false);
         counted.check(&format!("{demand} a second each after a pause"), 2.0);
     }
 }
 
+/// Guards against the same as requests come that have waited at all daemons for keys to be moved.
+#[gtest]
+fn cold_servers_that_get_keys_are_not_flooded_by_the_requests_that_waited_for_them() {
+    for demand in [30.0, 100.0, 300.0] {
+        let counted = play_bursts_for_keys(demand, true);
+        counted.check(&format!("{demand} a second each as keys were moved"), 2.0);
+    }
+}
+
 /// Guards against a cold server that hardly gets requests any more, since each comes after a pause.
 #[gtest]
 fn cold_servers_with_few_requests_get_most_of_them() {
@@ -162,25 +181,3 @@
         expect_that!(part, ge(min_part), "{demand} a second");
     }
 }
-
-/// Guards against the same as requests come that have waited at all daemons for keys to be moved.
-#[gtest]
-fn cold_servers_that_get_keys_are_not_flooded_by_the_requests_that_waited_for_them() {
-    for demand in [30.0, 100.0, 300.0] {
-        let mut counted = Counted::default();
-        for seed in 1..=4 {
-            let mut servers = serving_servers(&mut Rng::with_seed(seed), WARM_UP);
-            servers.iter_mut().for_each(|server| server.demand = 0.0);
-            let mut fleet = Fleet::new(servers, policy(A.0), seed);
-            let moved_at = Millis(5800);
-            fleet.run(Millis(3500), moved_at);
-            fleet.servers.iter_mut().for_each(|server| server.demand = demand);
-            for known in fleet.known.iter_mut().flatten() {
-                known.availability.rate_limit.expect_burst();
-            }
-            fleet.run(moved_at, end_of(&fleet.servers));
-            counted.add(seed, &fleet.servers, moved_at);
-        }
-        counted.check(&format!("{demand} a second each as keys were moved"), 2.0);
-    }
-}
