Count all daemons as contenders for a server that was just found to be cold

Cause: a demand of three times the limit, 27 a second, is assumed for a server whose limit comes into force. All daemons find their first token at the same time, and if the other servers are busy, all requests choose the new one. The class is the same: what is not known was taken for low. Change: from the first request after a limit came into force, all daemons count as contenders for two delays of reports, if another server can take the request. Daemons that don't know the size of the fleet yet learn it at different times, so it doesn't hold for them.

--- a/crates/oriolehoist_admission/src/idleness.rs
+++ b/crates/oriolehoist_admission/src/idleness.rs
@@ -13,6 +13,8 @@
     was_unavailable: bool,
     /// Whether all daemons may have requests for the server that have waited for the same event.
     expects_burst: bool,
+    /// Whether a limit has come into force at all daemons, so that they find their first tokens together.
+    is_new: bool,
     resumed: Option<Resumed>,
 }
 
@@ -24,6 +26,8 @@
     asked: f64,
     /// Whether all daemons may have requests for it at once, also those that no other server can take.
     for_all: bool,
+    /// After how many delays of reports the demand is known well enough.
+    delays: u64,
 }
 
 impl Idleness {
@@ -42,9 +46,9 @@
         (self.was_unavailable, self.expects_burst) = (false, false);
     }
 
-    /// Starts anew as a limit comes into force.
-    pub(crate) fn restart(&mut self) {
-        (self.unused, self.resumed) = (0.0, None);
+    /// Starts anew as a limit comes into force. `for_all` is whether that is at the same time at all daemons.
+    pub(crate) fn restart(&mut self, for_all: bool) {
+        (self.unused, self.is_new, self.resumed) = (0.0, for_all, None);
     }
 
     /// Records that there were tokens for this long.
@@ -57,9 +61,12 @@
         let was_unused = std::mem::take(&mut self.unused) >= UNUSED_SECONDS;
         let was_unavailable = std::mem::take(&mut self.was_unavailable);
         let expects_burst = std::mem::take(&mut self.expects_burst);
-        if was_unused || was_unavailable {
+        let is_new = std::mem::take(&mut self.is_new);
+        if was_unused || was_unavailable || is_new {
             let for_all = was_unavailable || expects_burst;
-            self.resumed = Some(Resumed { at: now, asked: 0.0, for_all });
+            // Requests for a server that was just found to be cold come all at once.
+            let delays = if was_unused || was_unavailable { 1 } else { 2 };
+            self.resumed = Some(Resumed { at: now, asked: 0.0, for_all, delays });
         }
     }
 
@@ -71,8 +78,7 @@
     }
 
     /// Returns how many requests may be sent at the same time as one of this daemon to a server that was
-    /// unused until now. Any of the `others` may have as many, and none has heard of them yet:
-    /// that takes `delay`. `is_spare` is whether another server can take the request.
+    /// unused until now. Any of the `others` may have as many, and what is heard of them takes `delay`. `is_spare` is whether another server can take the request.
     pub(crate) fn contenders(
         &self,
         now: Millis,
@@ -81,8 +87,8 @@
         is_spare: bool,
     ) -> f64 {
         match self.resumed {
-            Some(Resumed { at, asked, for_all })
-                if now.since(at) < delay && (is_spare || for_all) =>
+            Some(Resumed { at, asked, for_all, delays })
+                if now.since(at) < delay * delays && (is_spare || for_all) =>
             {
                 1.0 + others as f64 * asked.max(1.0)
             }
--- a/crates/oriolehoist_admission/src/rate_limit.rs
+++ b/crates/oriolehoist_admission/src/rate_limit.rs
@@ -309,7 +309,8 @@
         let seconds = now.since(self.updated_at).0 as f64 / 1000.0;
         self.decay_demand(seconds);
         (self.tokens, self.promised, self.updated_at) = (tokens, 0.0, now);
-        self.idleness.restart();
+        // Daemons that do not know the size of the fleet yet learn it at different times.
+        self.idleness.restart(self.daemons.is_some());
     }
 
     /// Returns the rate that this daemon shares with those that report.
--- a/crates/oriolehoist_admission/tests/cold_servers/idle_servers.rs
+++ b/crates/oriolehoist_admission/tests/cold_servers/idle_servers.rs
@@ -181,3 +181,19 @@
         expect_that!(part, ge(min_part), "{demand} a second");
     }
 }
+
+/// Guards against an assumed demand that is far too low for new servers which all requests choose.
+#[gtest]
+fn new_servers_are_not_flooded_while_all_others_are_busy() {
+    for (count, size, load) in [(1, 30, 300.0), (3, 30, 600.0), (5, 30, 1200.0)] {
+        let mut counted = Counted::default();
+        for seed in 1..=4 * SEEDS {
+            let mut service = service(count, load, seed);
+            service.size = size;
+            service.warm_latency_ms = 2000..4000;
+            service.run(Millis(500), end_of(&service.fleet.servers));
+            counted.add(seed, &service.fleet.servers, START);
+        }
+        counted.check(&format!("{count} of {size} new, others busy, {load} a second"), 2.0);
+    }
+}
