--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,111 +1,103 @@
-"""Requests with bodies within the configured limit use up the memory of a daemon."""
+"""A request that crashes servers reaches further ones after daemons were restarted in turn."""
 
 import asyncio
 import os
-import random
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 
-from standins2 import Platform, Site, main, now, read_head, receive, request_head, request_id, send_once
+from standins2 import Site, main, now, request_id, send_once
 
-DAEMONS = 3
-MEMORY_MB = 260
-# More requests than this may not be lost at a machine.
-LOST_ALLOWED = 3
+DAEMONS = 4
+SERVERS = 9
 CONTACT_S = 3.0
-UPLOADS_AT_ONCE = 3
-# Below `max_body_bytes`, which is 67,108,864. Each upload takes a second.
-UPLOAD_BYTES = 60_000_000
-SMALL_BYTES = 7200
-PIECE_BYTES = 250_000
-UPLOAD_BYTES_PER_S = 60_000_000
-WORK_MS = 300
-DEADLINE_MS = 4000
-
-ROUTES = [
-    ("bookings", "/bookings/", "non_idempotent", 4000, 2500, 1, 2, "almanaque"),
-    ("scans", "/scans/", "idempotent", 5000, 2500, 2, 2, "almanaque"),
-]
-
-
-async def upload(record, daemon, size):
-    """Sends an idempotent request with a body of this size."""
+# Servers that a request has crashed when it has to stop reaching others.
+CRASHES_ALLOWED = 3
+# More retries than this may not reach servers after that.
+RETRIES_ALLOWED = 3
+DEADLINE_MS = 1000
+WORK_MS = 200
+# How often its caller sends the request again.
+REPEAT_S = 1.0
+REPEATS_AT_EACH = 4
+
+POISON = "/bookings/slot-17/crash"
+ROUTES = [("bookings", "/bookings/", "non_idempotent", 1000, 600, 1, 2, "almanaque")]
+
+
+class Watch:
+    """What the servers have seen."""
+
+    def __init__(self):
+        self.poison_runs = []
+        self.runs = set()
+
+    def on_run(self, identifier, path):
+        self.runs.add(identifier)
+        if path == POISON:
+            self.poison_runs.append((now(), identifier))
+
+
+async def send_poison(record, daemon, sent):
     identifier = request_id()
-    try:
-        reader, writer = await asyncio.open_connection(*daemon.front)
-        extra = f"Content-Length: {size}\r\n"
-        writer.write(request_head("PUT", "/scans/20", identifier, DEADLINE_MS, extra))
-        sent, started = 0, now()
-        while sent < size:
-            piece = min(PIECE_BYTES, size - sent)
-            writer.write(bytes(piece))
-            await writer.drain()
-            sent += piece
-            await asyncio.sleep(max(0, started + sent / UPLOAD_BYTES_PER_S - now()))
-        answer = await asyncio.wait_for(receive(reader), DEADLINE_MS / 1000)
-        writer.close()
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-        answer = None
+    sent[identifier] = (daemon.name, now(), now() - daemon.started_at >= CONTACT_S)
+    answer = await send_once(daemon, "POST", POISON, identifier, DEADLINE_MS, b"slot 17")
     status = answer[0] if answer else None
-    record.write(f"upload {identifier} of {size} bytes to {daemon.name} gets {status}")
+    record.write(f"request {identifier} with the path {POISON} at {daemon.name} gets {status}")
 
 
-async def book(record, daemon, counts):
-    """Another client: sends non-idempotent requests over a kept connection, one after the other."""
-    reader = writer = None
-    is_kept = False
+async def book(daemon, answers):
+    """Another client: sends non-idempotent requests, one after the other."""
+    index = 0
     while True:
         identifier = request_id()
-        try:
-            if writer is None:
-                is_kept = False
-                reader, writer = await asyncio.open_connection(*daemon.front)
-            head = request_head("POST", f"/bookings/{WORK_MS}", identifier, DEADLINE_MS,
-                                "Content-Length: 2\r\n")
-            writer.write(head + b"{}")
-            answer = await asyncio.wait_for(receive(reader), DEADLINE_MS / 1000 + 0.5)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            answer = None
-        counts[identifier] = (daemon.name, answer[0] if answer else None, is_kept)
-        is_kept = True
-        if answer is None:
-            record.write(f"booking {identifier} at {daemon.name} ends without an answer")
-            if writer is not None:
-                writer.close()
-            reader = writer = None
-            await asyncio.sleep(0.3)
+        path = f"/bookings/other-{index}/{WORK_MS}"
+        answer = await send_once(daemon, "POST", path, identifier, DEADLINE_MS, b"{}")
+        answers[identifier] = answer[0] if answer else None
+        index += 1
+        await asyncio.sleep(0.05)
 
 
 async def case(record, trouble):
-    site = Site(record, DAEMONS, ROUTES, [("almanaque", 9)], memory_mb=MEMORY_MB)
-    runs = set()
+    site = Site(record, DAEMONS, ROUTES, [("almanaque", SERVERS)])
+    watch, sent, answers, tasks = Watch(), {}, {}, []
     for target in site.targets:
-        target.on_run = lambda identifier, path: runs.add(identifier)
-    platform = Platform(record, site)
-    answers = {}
-    tasks = []
+        target.on_run = watch.on_run
     try:
         await site.start()
-        tasks += [asyncio.create_task(platform.watch(daemon)) for daemon in site.daemons]
-        for daemon in site.daemons:
-            tasks += [asyncio.create_task(book(record, daemon, answers)) for _ in range(10)]
         await asyncio.sleep(CONTACT_S + 0.5)
-        size = UPLOAD_BYTES if trouble else SMALL_BYTES
-        for daemon in site.daemons[:2]:
-            uploads = [upload(record, daemon, size) for _ in range(UPLOADS_AT_ONCE)]
-            await asyncio.gather(*uploads)
-            await asyncio.sleep(2)
-        lost = {daemon.name: 0 for daemon in site.daemons}
-        for identifier, (name, status, is_kept) in answers.items():
-            lost[name] += status is None and is_kept and identifier in runs
-        for name, count in lost.items():
-            record.write(f"{name}: held at most {platform.peaks[name]:.0f} MB, ended "
-                         f"{platform.ends[name]} times; bookings that came over a kept connection, ran "
-                         f"and ended without an answer: {count}, allowed: {LOST_ALLOWED}")
-        record.write(f"bookings of other clients: {len(answers)}")
-        return any(count > LOST_ALLOWED for count in lost.values())
+        for daemon in site.daemons:
+            tasks += [asyncio.create_task(book(daemon, answers)) for _ in range(3)]
+        # The request comes again at any machine, until no server gets it any more.
+        for index in range(8):
+            await send_poison(record, site.daemons[index % DAEMONS], sent)
+            await asyncio.sleep(REPEAT_S)
+        crashed = sorted(at for at, _ in watch.poison_runs)
+        if len(crashed) < CRASHES_ALLOWED:
+            raise RuntimeError("the request did not crash three servers")
+        third_at = crashed[CRASHES_ALLOWED - 1]
+        record.write(f"the request has crashed its third server at {third_at:.3f}")
+        await asyncio.sleep(max(0, third_at + CONTACT_S + 0.5 - now()))
+        for daemon in site.daemons:
+            if trouble:
+                await daemon.restart()
+                await daemon.wait_until_ready()
+                await asyncio.sleep(CONTACT_S + 0.3)
+            for _ in range(REPEATS_AT_EACH):
+                await send_poison(record, daemon, sent)
+                await asyncio.sleep(REPEAT_S)
+        late = [identifier for _, identifier in watch.poison_runs
+                if sent[identifier][1] > third_at + CONTACT_S and sent[identifier][2]]
+        lost = [identifier for identifier, status in answers.items()
+                if identifier in watch.runs and status != 200]
+        last_at = max(at for _, at, _ in sent.values())
+        record.write(f"the request was sent {len(sent)} times until {last_at - third_at:.1f} s after its "
+                     f"third crash, and ran {len(watch.poison_runs)} times")
+        record.write(f"retries that reached servers, sent by machines in touch later than contact_ms "
+                     f"after the third crash: {len(late)}, allowed: {RETRIES_ALLOWED}")
+        record.write(f"other clients' requests: {len(answers)} sent, {len(lost)} ran without an answer")
+        return len(late) > RETRIES_ALLOWED
     finally:
         for task in tasks:
             task.cancel()
