Case 6: don't count requests that their callers gave up

The rule LOST is about connections that the daemon closes. The script also counted a request whose caller had closed the connection after its deadline.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,6 +23,9 @@
 FOREIGN_BYTES = 1_048_576
 OBSERVED_S = 30
 
+# The caller has closed the connection itself, after its deadline. That is not a loss.
+LATE = "late"
+
 ROUTES = [("bookings", "/bookings/", "non_idempotent", 1000, 1000, 1, 2, "almanaque")]
 
 
@@ -31,6 +34,7 @@
     reader = writer = None
     while True:
         identifier, is_kept, answer = request_id(), writer is not None, None
+        has_waited = False
         try:
             if writer is None:
                 reader, writer = await asyncio.open_connection(*daemon.front)
@@ -38,9 +42,11 @@
                                 "Content-Length: 2\r\n")
             writer.write(head + b"{}")
             answer = await asyncio.wait_for(receive(reader), DEADLINE_MS / 1000 + 0.5)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        except asyncio.TimeoutError:
+            has_waited = True
+        except (OSError, asyncio.IncompleteReadError):
             pass
-        status = answer[0] if answer else None
+        status = answer[0] if answer else LATE if has_waited else None
         answers[identifier] = (now(), daemon.name, status, is_kept)
         if answer is None:
             if writer is not None:
