--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -10,6 +10,7 @@
 mod endless_responses;
 mod evacuations;
 mod explain;
+mod foreign_names;
 mod handovers;
 mod headroom;
 mod interrupted_heads;
