End lists in the store that make no progress, and use what was read

Seen: a list whose next page doesn't lead behind the one before was read without end (57,120 calls in 4 s with two daemons), and all its pages were kept. A list with a page that the store rejects failed again and again. Cause: a list ends only if the store says so, a single failed page discards all others, and nothing bounds what a list holds. Change: `Paging` ends a list at a page without keys behind the one before. The items up to there are used, also if the store rejects the next page for good; what was known of those behind it stays, and the watch that follows brings them with the servers' heartbeats. E2017 names the place. Each page is decoded as it arrives, and a response of the store has at most 8 MB: a watch that has more fails, and is replaced by a list.

--- a/crates/oriolehoist_edge/src/control/evacuation_reader.rs
+++ b/crates/oriolehoist_edge/src/control/evacuation_reader.rs
@@ -14,7 +14,7 @@
     oriolehoist_backoff::CallKind,
     oriolehoist_evacuation::{READ_SPREAD, ZoneSet},
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{Change, Revision, StoreRequest, StoreResponse},
+    oriolehoist_port::{Change, Item, Revision, StoreRequest, StoreResponse},
     oriolehoist_time::Millis,
     smol_str::SmolStr,
     std::{
@@ -158,12 +158,17 @@
     async fn list(&mut self, choice: ConnectionChoice) -> Result<(Millis, ZoneSet), StoreError> {
         let started_at = self.cx.clock.now();
         let prefix = self.cx.platform.evacuations_prefix();
-        let pages = self.store.list_over(prefix, choice).await?;
+        let (mut keys, mut first_revision) = (Vec::new(), None);
+        let on_page = |revision, items: Vec<Item>| {
+            first_revision.get_or_insert(revision);
+            keys.extend(items.into_iter().map(|item| item.key));
+        };
+        let coverage = self.store.list(prefix, choice, on_page).await?;
         // The pages are no snapshot, so a watch continues from the first one.
-        let revision = pages.first().map(|page| page.0).unwrap_or_default();
-        self.zones.clear();
-        for item in pages.into_iter().flat_map(|page| page.1) {
-            self.insert(item.key);
+        let revision = first_revision.unwrap_or_default();
+        self.zones.retain(|key, _| !coverage.includes(key));
+        for key in keys {
+            self.insert(key);
         }
         self.after = Some(revision);
         Ok((started_at, self.zone_set(revision)))
--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -1,10 +1,12 @@
 //! Reads the registered servers from the store.
 
 use {
-    crate::control::store::{StoreClient, StoreError},
+    crate::control::store::{ConnectionChoice, StoreClient, StoreError},
     oriolehoist_backoff::MIN_OUTAGE,
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{Change, Item, Platform, RegisteredServer, StoreRequest, StoreResponse},
+    oriolehoist_port::{
+        Change, Coverage, Item, Platform, RegisteredServer, StoreRequest, StoreResponse,
+    },
     oriolehoist_registry::{Listing, Registration, Registry, RegistryVersion},
     oriolehoist_time::Millis,
     smol_str::SmolStr,
@@ -139,9 +141,14 @@
     ) -> Result<Listing, StoreError> {
         let started_at = now();
         let mut listing = Listing::default();
-        for (revision, items) in store.list(platform.servers_prefix()).await? {
+        let on_page = |revision, items: Vec<Item>| {
             let registrations = items.into_iter().map(|item| self.decode(platform, item));
             listing.add_page(revision, registrations);
+        };
+        let coverage =
+            store.list(platform.servers_prefix(), ConnectionChoice::Any, on_page).await?;
+        if let Coverage::UpTo(key) = coverage {
+            listing.end_at(server_id(platform, &key));
         }
         let text = format_args!(
             "servers={} pages={} first={} last={} took_ms={}",
--- a/crates/oriolehoist_edge/src/control/store.rs
+++ b/crates/oriolehoist_edge/src/control/store.rs
@@ -1,12 +1,14 @@
 use {
     crate::{
-        connection::{CallError, HttpClient, HttpClientOptions, MAX_BODY_BYTES},
+        connection::{CallError, HttpClient, HttpClientOptions},
         process::Shared,
     },
     derive_more::Display,
     oriolehoist_backoff::CallTime,
     oriolehoist_log::{Event, report},
-    oriolehoist_port::{Item, Revision, StoreRequest, StoreRequestKind, StoreResponse},
+    oriolehoist_port::{
+        Coverage, Item, NextPage, Paging, Revision, StoreRequest, StoreRequestKind, StoreResponse,
+    },
     oriolehoist_time::Millis,
     std::sync::Arc,
 };
@@ -19,6 +21,9 @@
 const CONNECT_TIMEOUT: Millis = Millis(400);
 /// How long an idle connection may be reused.
 const IDLE_TIMEOUT: Millis = Millis(8000);
+/// The maximum size of a response body, in bytes. Pages and values have about a megabyte. A watch may
+/// return any number of values, and fails if they are more; its items are then read by pages.
+const MAX_BODY_BYTES: u64 = 8 << 20;
 
 /// Why a request to the store has no result.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -43,6 +48,19 @@
     Malformed,
 }
 
+impl StoreError {
+    /// Returns whether the same request would fail again.
+    fn is_permanent(self) -> bool {
+        match self {
+            StoreError::Malformed => true,
+            // Too many requests, or one that took too long.
+            StoreError::UnexpectedStatus(408 | 429) => false,
+            StoreError::UnexpectedStatus(status) => (400..500).contains(&status),
+            _ => false,
+        }
+    }
+}
+
 /// Which connection a request is sent on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionChoice {
@@ -129,36 +147,46 @@
         (response, trace)
     }
 
-    /// Reads all items under a prefix. Returns the pages, each with the store's revision when it was
-    /// read. There is at least one.
+    /// Reads all items under a prefix, the first page on the chosen connection. Passes each page to
+    /// `on_page`, with the store's revision when it was read, so that no more than one is held in memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a page can't be read, unless reading it again can't help: then the list ends
+    /// with the page before.
     pub(crate) async fn list(
         &self,
         prefix: &str,
-    ) -> Result<Vec<(Revision, Vec<Item>)>, StoreError> {
-        self.list_over(prefix, ConnectionChoice::Any).await
-    }
-
-    /// Does the same, with the first request on the chosen connection.
-    pub(crate) async fn list_over(
-        &self,
-        prefix: &str,
-        choice: ConnectionChoice,
-    ) -> Result<Vec<(Revision, Vec<Item>)>, StoreError> {
-        let mut pages = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let request = StoreRequest::List { prefix: prefix.to_owned(), after };
-            let choice = if pages.is_empty() { choice } else { ConnectionChoice::Any };
-            let (response, _) = self.traced_call(request, choice).await;
-            let StoreResponse::Page { items, has_more, revision } = response? else {
-                return Err(StoreError::Malformed);
+        mut choice: ConnectionChoice,
+        mut on_page: impl FnMut(Revision, Vec<Item>),
+    ) -> Result<Coverage, StoreError> {
+        let mut paging = Paging::new(prefix);
+        let mut pages = 0_u32;
+        let (coverage, reason) = loop {
+            let (response, _) = self.traced_call(paging.request(), choice).await;
+            let (items, has_more, revision) = match response {
+                Ok(StoreResponse::Page { items, has_more, revision }) => {
+                    (items, has_more, revision)
+                }
+                Err(error) if pages > 0 && error.is_permanent() => {
+                    break (paging.coverage(), error.to_string());
+                }
+                Ok(_) => return Err(StoreError::Malformed),
+                Err(error) => return Err(error),
             };
-            after = items.last().map(|item| item.key.clone());
-            pages.push((revision, items));
-            if !has_more || after.is_none() {
-                return Ok(pages);
+            pages += 1;
+            choice = ConnectionChoice::Any;
+            let next = paging.on_page(&items, has_more);
+            on_page(revision, items);
+            if let NextPage::None(coverage) = next {
+                break (coverage, "no items behind the page before".to_owned());
             }
+        };
+        if let Coverage::UpTo(last) = &coverage {
+            let text = format_args!("prefix={prefix} pages={pages} last={last:?} error={reason:?}");
+            report(Event::ListIncomplete, text);
         }
+        Ok(coverage)
     }
 
     async fn send(
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -292,11 +292,15 @@
         &self,
         members: &mut BTreeMap<String, (Revision, Member)>,
     ) -> Result<Revision, StoreError> {
-        let pages = self.store.list(MEMBERS_PREFIX).await?;
-        let first_revision = pages.first().map(|page| page.0).unwrap_or_default();
-        members.clear();
-        members.extend(pages.into_iter().flat_map(|page| page.1).filter_map(parse_member));
-        Ok(first_revision)
+        let (mut listed, mut first_revision) = (Vec::new(), None);
+        let on_page = |revision, items: Vec<Item>| {
+            first_revision.get_or_insert(revision);
+            listed.extend(items.into_iter().filter_map(parse_member));
+        };
+        let coverage = self.store.list(MEMBERS_PREFIX, ConnectionChoice::Any, on_page).await?;
+        members.retain(|key, _| !coverage.includes(key));
+        members.extend(listed);
+        Ok(first_revision.unwrap_or_default())
     }
 
     /// Waits for changes of the members, and applies those that are not included yet. Returns the
--- a/crates/oriolehoist_log/src/event.rs
+++ b/crates/oriolehoist_log/src/event.rs
@@ -73,6 +73,8 @@
     EvacuationsStale = 2015, Info;
     /// This daemon called a store of which only one other daemon said that it fails.
     StoreChecked = 2016, Info;
+    /// The items of a list behind some page can't be read. Those before it are used.
+    ListIncomplete = 2017, Warn;
     /// This daemon won a term as the assigner of a service.
     TermWon = 3001, Info;
     /// Another daemon holds a higher term, and this one is no longer the assigner.
--- a/crates/oriolehoist_port/src/lib.rs
+++ b/crates/oriolehoist_port/src/lib.rs
@@ -14,6 +14,7 @@
 mod boot;
 mod configuration;
 mod order;
+mod paging;
 mod platform;
 mod server;
 mod store;
@@ -22,6 +23,7 @@
     boot::{BootstrapConfig, InstanceSize, OperationalBounds},
     configuration::{CallerLimits, Configuration, Route, ServerWarmUp, ServiceSpec},
     order::{Handover, KeyRange, Order, OrderResponse},
+    paging::{Coverage, NextPage, Paging},
     platform::{
         DecodeError, HeaderNames, HttpRequest, HttpResponse, Platform, ServerLoad, ServerStatements,
     },
--- a/crates/oriolehoist_port/src/store.rs
+++ b/crates/oriolehoist_port/src/store.rs
@@ -88,6 +88,16 @@
     },
 }
 
+impl Change {
+    /// Returns the key that was written or removed.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Written(item) => &item.key,
+            Change::Removed { key, .. } => key,
+        }
+    }
+}
+
 /// An atomic write of several values, which is applied only if all conditions hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transaction {
--- a/crates/oriolehoist_registry/src/listing.rs
+++ b/crates/oriolehoist_registry/src/listing.rs
@@ -1,4 +1,4 @@
-use {crate::Registration, oriolehoist_port::Revision};
+use {crate::Registration, oriolehoist_port::Revision, smol_str::SmolStr};
 
 /// A read of all registrations in pages.
 #[derive(Clone, Debug, Default)]
@@ -7,6 +7,8 @@
     first_revision: Option<Revision>,
     last_revision: Revision,
     pages: u32,
+    /// The last id that was read, if those behind it could not be.
+    ends_at: Option<SmolStr>,
 }
 
 impl Listing {
@@ -22,6 +24,16 @@
         self.pages += 1;
     }
 
+    /// Records that the registrations behind that of `id` could not be read.
+    pub fn end_at(&mut self, id: SmolStr) {
+        self.ends_at = Some(id);
+    }
+
+    /// Returns whether a registration with this id would be included.
+    pub(crate) fn includes(&self, id: &SmolStr) -> bool {
+        self.ends_at.as_ref().is_none_or(|last| id <= last)
+    }
+
     /// Returns the store's revision when the first page was read. All earlier changes are included.
     pub fn first_revision(&self) -> Revision {
         self.first_revision.unwrap_or_default()
--- a/crates/oriolehoist_registry/src/registry.rs
+++ b/crates/oriolehoist_registry/src/registry.rs
@@ -143,8 +143,8 @@
         self.settles_at = now + REREGISTRATION_PERIOD;
     }
 
-    /// Replaces all entries by those of a complete listing. The first one of a later era may be
-    /// missing registrations, which are then written again within a period.
+    /// Replaces all entries by those of a listing; those that it could not read stay. The first one of a
+    /// later era may be missing registrations, which are then written again within a period.
     pub fn replace(&mut self, now: Millis, listing: Listing) {
         let restored = self.is_before_era_of(listing.last_revision());
         if restored {
@@ -153,7 +153,8 @@
         (self.revision, self.consistent_from) = (listing.first_revision(), listing.last_revision());
         let listed: HashSet<&SmolStr> =
             listing.registrations.iter().map(|entry| &entry.id).collect();
-        self.remove_missing(now, self.revision, &listed);
+        let is_missing = |id: &SmolStr| listing.includes(id) && !listed.contains(id);
+        self.remove_if(now, self.revision, is_missing);
         for registration in listing.registrations {
             let Registration { id, revision, server } = registration;
             let state = match server {
@@ -217,7 +218,7 @@
             if changes.complete {
                 let listed: HashSet<&SmolStr> =
                     changes.entries.iter().map(|entry| &entry.0).collect();
-                self.remove_missing(now, revision, &listed);
+                self.remove_if(now, revision, |id| !listed.contains(id));
             }
             for (id, entry_revision, change) in changes.entries {
                 if self.is_newer(&id, entry_revision) {
@@ -330,10 +331,15 @@
         EntryState::Registered { server, reverted }
     }
 
-    fn remove_missing(&mut self, now: Millis, revision: Revision, listed: &HashSet<&SmolStr>) {
-        let missing: Vec<SmolStr> =
-            self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect();
-        for id in missing {
+    fn remove_if(
+        &mut self,
+        now: Millis,
+        revision: Revision,
+        is_removed: impl Fn(&SmolStr) -> bool,
+    ) {
+        let removed: Vec<SmolStr> =
+            self.entries.keys().filter(|id| is_removed(id)).cloned().collect();
+        for id in removed {
             self.mark_removed(now, revision, &id);
         }
     }
--- a/crates/oriolehoist_registry/tests/registry.rs
+++ b/crates/oriolehoist_registry/tests/registry.rs
@@ -303,3 +303,21 @@
         }
     }
 }
+
+/// Guards against servers that count as removed because the list of servers could not be read to its end.
+#[gtest]
+fn servers_behind_the_end_of_an_incomplete_listing_stay() {
+    let ids = ["i-1", "i-2", "i-3", "i-4"];
+    let mut registry = registry_of(9, ids.map(|id| registration(id, 5, ServerState::Ready)));
+    let mut listing = Listing::default();
+    listing.add_page(Revision(12), [registration("i-2", 11, ServerState::Draining)]);
+    listing.end_at("i-2".into());
+    registry.replace(NOW, listing);
+    let expected = [
+        ("i-1".into(), ServerState::Draining),
+        ("i-2".into(), ServerState::Draining),
+        ("i-3".into(), ServerState::Ready),
+        ("i-4".into(), ServerState::Ready),
+    ];
+    expect_that!(states(&mut registry, NOW), eq(&BTreeMap::from(expected)));
+}
--- a/crates/oriolehoist_testkit/src/users_platform/mod.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/mod.rs
@@ -23,5 +23,5 @@
     scripted_server::{ScriptedCall, ScriptedEnd, ScriptedReply, ScriptedServer, raw_response},
     server::{ArrivedRequest, ExecutedRequest, Server, ServerFaults, TurnAway},
     store::Store,
-    store_state::{StoreFaults, StoreSnapshot},
+    store_state::{PageFault, StoreFaults, StoreSnapshot},
 };
--- a/crates/oriolehoist_testkit/src/users_platform/store.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/store.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         lock::lock,
-        users_platform::store_state::{StoreFaults, StoreSnapshot, StoreState},
+        users_platform::store_state::{PageFault, StoreFaults, StoreSnapshot, StoreState},
     },
     axum::{
         Json, Router,
@@ -235,8 +235,15 @@
     after: String,
 }
 
-async fn range(State(state): State<Shared>, Query(query): Query<RangeQuery>) -> Response {
+async fn range(State(state): State<Shared>, Query(mut query): Query<RangeQuery>) -> Response {
     let mut state = lock(&state);
+    match &state.faults.page_after {
+        Some((after, PageFault::FirstPage)) if *after == query.after => query.after.clear(),
+        Some((after, PageFault::Rejection)) if *after == query.after => {
+            return StatusCode::BAD_REQUEST.into_response();
+        }
+        _ => {}
+    }
     let keys = state.items.keys();
     let keys: Vec<&String> =
         keys.filter(|key| key.starts_with(&query.prefix) && **key > query.after).collect();
--- a/crates/oriolehoist_testkit/src/users_platform/store_state.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/store_state.rs
@@ -26,6 +26,17 @@
     pub ignored_callers: HashSet<IpAddr>,
     /// The share of transactions and lease creations whose responses are lost.
     pub response_loss_rate: f64,
+    /// What the store returns in place of the page after this key.
+    pub page_after: Option<(String, PageFault)>,
+}
+
+/// What the store returns in place of a page of a listing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageFault {
+    /// The first page again.
+    FirstPage,
+    /// Status 400.
+    Rejection,
 }
 
 /// A copy of the store at one time, as a backup has it.
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -13,6 +13,7 @@
 mod foreign_names;
 mod handovers;
 mod headroom;
+mod incomplete_lists;
 mod interrupted_heads;
 mod load;
 
