Ignore changes of keys that only begin like the configuration's

Seen: an item of another writer under `op/config-old` with a later version was put in force on all daemons; other bytes there were reported as a rejected configuration. Cause: the store's watches take a prefix, and `follow_config` took any change for one of the configuration. The own interface did the same with `settings/head`, and an election with the assigner's key. Change: changes of other keys are left out by comparing the whole key. The watch continues behind them as before. Evidence: both new tests failed before (three keys, three daemons on the platform; one key on the own interface), and pass.

--- a/crates/oriolehoist_daemon/src/control/tasks.rs
+++ b/crates/oriolehoist_daemon/src/control/tasks.rs
@@ -71,6 +71,10 @@
                 unavailable = false;
                 for entry in entries {
                     after = after.max(entry.revision);
+                    // Keys of other programs may begin with this one.
+                    if entry.key != HEAD_KEY {
+                        continue;
+                    }
                     match serde_json::from_str::<SettingsVersion>(&entry.value) {
                         Ok(version) => drop(control.tell(SettingsReceived(version)).await),
                         Err(error) => {
--- a/crates/oriolehoist_edge/src/control/election.rs
+++ b/crates/oriolehoist_edge/src/control/election.rs
@@ -77,7 +77,7 @@
                     match store.call(request).await {
                         // The lease has ended, and with it the right of its holder to send orders.
                         Ok(StoreResponse::Changes { changes, .. })
-                            if changes.iter().any(|c| matches!(c, Change::Removed { .. })) =>
+                            if changes.iter().any(is_removal_of_assigner) =>
                         {
                             sleep(Duration::from(candidacy.claim_delay)).await;
                             claim_if_allowed(cx, store, local, candidacy).await
@@ -92,6 +92,10 @@
     }
 }
 
+fn is_removal_of_assigner(change: &Change) -> bool {
+    matches!(change, Change::Removed { key, .. } if key == ASSIGNER_KEY)
+}
+
 async fn claim_if_allowed(
     cx: &Shared,
     store: &StoreClient,
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -173,8 +173,10 @@
                 }
                 // The operators have not written one yet.
                 Ok(StoreResponse::Item { item: None, revision }) => after = Some(revision),
-                Ok(StoreResponse::Changes { changes, revision }) => {
+                Ok(StoreResponse::Changes { mut changes, revision }) => {
                     after = after.max(Some(revision));
+                    // Keys of other programs may begin with this one.
+                    changes.retain(|change| change.key() == key);
                     // A watch that has waited for its whole duration has read the store after that.
                     let waited = call.ended_at.since(call.started_at) >= wait;
                     let read_at = if waited { call.started_at + wait } else { call.started_at };
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -140,3 +140,31 @@
     cluster.clean_up();
     Ok(())
 }
+
+/// Guards against an entry of another writer that is put in force as the settings, because its key begins
+/// like that of the settings.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_whose_key_begins_like_that_of_the_settings_is_not_put_in_force()
+-> eyre::Result<()> {
+    let cluster = start().await?;
+    let store =
+        oriolehoist::platform::Store::new(cluster.operator_endpoints().0, cluster.store.address())?;
+    let head = store.get("settings/head").await?.expect("the store has settings");
+    let mut other: Json = serde_json::from_str(&head.value)?;
+    other["version"] = Json::from(2);
+    store
+        .compare_and_swap(
+            "settings/head-old",
+            oriolehoist::platform::Revision::ABSENT,
+            other.to_string(),
+        )
+        .await?;
+    sleep(Duration::from_millis(500)).await;
+    for daemon in &cluster.daemons {
+        expect_that!(cluster.status(daemon).await?["settings"], eq(&Json::from(1)));
+    }
+    expect_that!(is_serving(&cluster).await?, eq(true));
+    cluster.clean_up();
+    Ok(())
+}
--- a/tests/users_platform/foreign_names.rs
+++ b/tests/users_platform/foreign_names.rs
@@ -120,3 +120,30 @@
     clean_up(deployment);
     Ok(())
 }
+
+/// Guards against an item of another writer that is put in force as the configuration, because its key
+/// begins like the configuration's.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_whose_key_begins_like_that_of_the_configuration_is_not_put_in_force()
+-> eyre::Result<()> {
+    let deployment = deployment(3, 2, 2).await?;
+    let config = deployment.store.get("op/config").unwrap_or_default();
+    let config = String::from_utf8(config)?;
+    let other = config.replace("\"00000003\"", "\"000000ff\"").replace("\"/p/\"", "\"/q/\"");
+    for key in ["op/config-old", "op/config/", "op/config "] {
+        deployment.store.put(key, other.as_bytes());
+        sleep(SECOND / 2).await;
+        deployment.store.put(key, b"no configuration");
+        deployment.store.remove(key);
+    }
+    let load = Load::start(caller_addresses(&deployment), "config")?;
+    sleep(SECOND).await;
+    finish_and_check(&deployment, load, 0.99).await;
+    for daemon in &deployment.daemons {
+        expect_that!(daemon.log().contains("SettingsInForce: version=000000ff"), eq(false));
+        expect_that!(daemon.log().contains("SettingsRejected"), eq(false));
+    }
+    clean_up(deployment);
+    Ok(())
+}
