--- a/crates/oriolehoist_edge/src/control/servers.rs
+++ b/crates/oriolehoist_edge/src/control/servers.rs
@@ -3,7 +3,7 @@
 use {
     crate::control::store::{ConnectionChoice, StoreClient, StoreError},
     oriolehoist_backoff::MIN_OUTAGE,
-    oriolehoist_log::{Event, report},
+    oriolehoist_log::{Event, Word, report},
     oriolehoist_port::{
         Change, Coverage, Item, Platform, RegisteredServer, StoreRequest, StoreResponse,
     },
@@ -19,6 +19,8 @@
 const CATCH_UP_TIMEOUT: Millis = Millis(1);
 /// How many times all servers are listed again because the store discarded its history meanwhile.
 const MAX_LISTINGS: u32 = 3;
+/// The maximum number of keys with malformed registrations that are logged.
+const MAX_REPORTED_KEYS: usize = 1024;
 
 /// The state of the server list as read from the store.
 #[derive(Default)]
@@ -201,15 +203,18 @@
                 let is_stated = server.warm_up_remaining != RegisteredServer::WARM_UP_UNSTATED;
                 let error = (!is_stated).then(|| platform.malformed_warm_up(&value)).flatten();
                 if let Some(error) = error
+                    && self.malformed_warm_ups.len() < MAX_REPORTED_KEYS
                     && self.malformed_warm_ups.insert(id.clone())
                 {
-                    report(Event::WarmUpMalformed, format_args!("key={key} error=\"{error}\""));
+                    let text = format_args!("key={} error=\"{error}\"", Word(&key));
+                    report(Event::WarmUpMalformed, text);
                 }
                 Some(server)
             }
             Err(error) => {
-                if self.malformed.insert(id.clone()) {
-                    report(Event::ServerMalformed, format_args!("key={key} error=\"{error}\""));
+                if self.malformed.len() < MAX_REPORTED_KEYS && self.malformed.insert(id.clone()) {
+                    let text = format_args!("key={} error=\"{error}\"", Word(&key));
+                    report(Event::ServerMalformed, text);
                 }
                 None
             }
--- a/crates/oriolehoist_edge/src/control/store.rs
+++ b/crates/oriolehoist_edge/src/control/store.rs
@@ -5,7 +5,7 @@
     },
     derive_more::Display,
     oriolehoist_backoff::CallTime,
-    oriolehoist_log::{Event, report},
+    oriolehoist_log::{Event, Word, report},
     oriolehoist_port::{
         Coverage, Item, NextPage, Paging, Revision, StoreRequest, StoreRequestKind, StoreResponse,
     },
@@ -183,7 +183,8 @@
             }
         };
         if let Coverage::UpTo(last) = &coverage {
-            let text = format_args!("prefix={prefix} pages={pages} last={last:?} error={reason:?}");
+            let last = Word(last);
+            let text = format_args!("prefix={prefix} pages={pages} last={last} error={reason:?}");
             report(Event::ListIncomplete, text);
         }
         Ok(coverage)
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -20,7 +20,7 @@
     kameo::actor::ActorRef,
     oriolehoist_backoff::CallKind,
     oriolehoist_fleet::table_read_delay,
-    oriolehoist_log::{Event, report},
+    oriolehoist_log::{Event, Word, report},
     oriolehoist_port::{
         Change, Item, LeaseId, Revision, StoreEra, StoreRequest, StoreResponse, Transaction,
     },
@@ -434,7 +434,7 @@
 
 fn parse_member(item: Item) -> Option<(String, (Revision, Member))> {
     let log_malformed = |error: &serde_json::Error| {
-        report(Event::PeerMalformed, format_args!("key={} error=\"{error}\"", item.key));
+        report(Event::PeerMalformed, format_args!("key={} error=\"{error}\"", Word(&item.key)));
     };
     let member = serde_json::from_slice(&item.value).inspect_err(log_malformed).ok()?;
     Some((item.key, (item.revision, member)))
--- a/crates/oriolehoist_log/src/lib.rs
+++ b/crates/oriolehoist_log/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod event;
 mod logging;
+mod text;
 mod writer;
 
 pub use {
     event::{Event, report},
     logging::init_logging,
+    text::Word,
 };
--- a/crates/oriolehoist_log/src/logging.rs
+++ b/crates/oriolehoist_log/src/logging.rs
@@ -1,4 +1,8 @@
-use {crate::writer::LogWriter, log::LevelFilter, std::str::FromStr};
+use {
+    crate::{text::OneLine, writer::LogWriter},
+    log::LevelFilter,
+    std::str::FromStr,
+};
 
 /// Initializes logging to standard output, with one line per event. Logging never blocks, even if
 /// the output is not read. `level` applies to events; messages of other crates are logged only if
@@ -12,7 +16,7 @@
     fern::Dispatch::new()
         .format(|out, message, record| {
             let time = chrono::Utc::now().to_rfc3339_opts(chrono::SecondsFormat::Millis, true);
-            out.finish(format_args!("{time} {} {message}", record.level()));
+            out.finish(format_args!("{time} {} {}", record.level(), OneLine(message)));
         })
         .level(LevelFilter::Warn)
         .level_for("oriolehoist_log", level)
--- a/tests/users_platform/foreign_names.rs
+++ b/tests/users_platform/foreign_names.rs
@@ -147,3 +147,41 @@
     clean_up(deployment);
     Ok(())
 }
+
+/// Guards against a name that reads as lines of the log, and against requests to a server under a name that
+/// can't be told to it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn names_that_no_server_can_have_get_no_requests_and_break_no_line_of_the_log()
+-> eyre::Result<()> {
+    let mut deployment = deployment(2, 2, 2).await?;
+    let entry = deployment.store.get("servers/i-2").unwrap_or_default();
+    let names =
+        ["", "i-2\nforged line", "i-2\r\n\tforged", "i 2", " ", "i-2 ", "\u{e9}", "\u{2028}forged"];
+    for name in names {
+        deployment.store.put(&format!("servers/{name}"), &entry);
+        deployment.store.put(&format!("oriolehoist/members/{name}"), name.as_bytes());
+    }
+    deployment.store.put("servers/odd", b"{\"state\":\"a\\nforged\"}");
+    restart_all(&mut deployment)?;
+    sleep(RECOVERY_TIME).await;
+    let load = Load::start(caller_addresses(&deployment), "log")?;
+    sleep(SECOND * 2).await;
+    finish_and_check(&deployment, load, 0.99).await;
+    for daemon in &deployment.daemons {
+        let log = daemon.log();
+        let is_event =
+            |line: &str| line.split(' ').nth(2).is_some_and(|number| number.starts_with('E'));
+        let broken: Vec<&str> = log.lines().filter(|line| !is_event(line)).collect();
+        expect_that!(broken, is_empty());
+        expect_that!(log.contains("\u{2028}"), eq(false));
+    }
+    let logs: String = deployment.daemons.iter().map(Daemon::log).collect();
+    for name in names {
+        let line = format!("ServerMalformed: key={:?} ", format!("servers/{name}"));
+        expect_that!(logs.contains(&line) || name.is_empty(), eq(true), "{line}");
+    }
+    expect_that!(logs.contains("ServerMalformed: key=servers/ "), eq(true));
+    clean_up(deployment);
+    Ok(())
+}
