Share crash suspects with restarted daemons on the own interface

Seen: with four daemons of the own interface restarted in turn, a request that had crashed two servers crashed two more; two are allowed in all. Cause: as on the platform interface, the suspects were told once, at the crash. Change: the response to `/hello`, which the daemons ask of each other twice a second, has the suspects with two known crashes or more. They are merged by the same code as on the platform interface. If all daemons restart at the same time they are still lost. Evidence: crash_request_after_restarts failed before ("4 servers crashed, expected 1 to 2") and passes, as does crash_request_is_quarantined.

--- a/crates/oriolehoist_daemon/src/control/actor.rs
+++ b/crates/oriolehoist_daemon/src/control/actor.rs
@@ -214,6 +214,7 @@
             known_peers: known,
             assigner_contacts: self.services.values().map(contact).collect(),
             build: Some(build_name()),
+            suspects: self.cx.crash_suspects().snapshot(now),
         }
     }
 
--- a/crates/oriolehoist_daemon/src/control/handlers.rs
+++ b/crates/oriolehoist_daemon/src/control/handlers.rs
@@ -192,6 +192,9 @@
         let now = self.now();
         let own_address = self.cx.identity.address;
         self.peers.add_addresses(now, own_address, message.hello.known_peers.iter().copied());
+        if let Some(suspects) = &message.hello.suspects {
+            self.cx.merge_suspects(now, &suspects.records, &message.hello.witness.instance);
+        }
         self.peers.on_hello(now, message.address, message.hello);
         let live = self.peers.live(now).map(|hello| (&hello.witness, &hello.zone));
         let live = LivePeers::new(live, &self.cx.zone);
--- a/crates/oriolehoist_daemon/src/listener/peers.rs
+++ b/crates/oriolehoist_daemon/src/listener/peers.rs
@@ -17,7 +17,6 @@
         routing::post,
     },
     kameo::{actor::ActorRef, message::Message},
-    oriolehoist_admission::{CrashId, Fingerprint},
     oriolehoist_protocol::{
         AcceptTermRequest, HANDOVER_PATH, Heartbeat, HolderQuery, Resignation, SIGHT_PATH,
         ServiceName, SuspectNotice,
@@ -107,11 +106,7 @@
 async fn suspect(State(state): State<PeersState>, body: Bytes) -> Response {
     match decode_message::<SuspectNotice>(&body) {
         Ok(notice) => {
-            let now = state.cx.clock.now();
-            let mut suspects =
-                state.cx.crash_suspects.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-            let crash = CrashId(notice.crashed.0);
-            suspects.on_crash(now, Fingerprint(notice.fingerprint), crash);
+            state.cx.record_suspect(notice, "notice");
             encode_response(&())
         }
         Err(malformed) => malformed.into_response(),
--- a/crates/oriolehoist_daemon/src/process/context.rs
+++ b/crates/oriolehoist_daemon/src/process/context.rs
@@ -1,18 +1,24 @@
 use {
-    crate::{connection::PeerClient, process::Metrics, version::View},
+    crate::{
+        connection::PeerClient,
+        process::{Event, Metrics, report},
+        version::View,
+    },
     arc_swap::ArcSwap,
-    oriolehoist_admission::{CrashSuspects, RetryBudgets},
+    oriolehoist_admission::{CrashId, CrashSuspects, Fingerprint, RetryBudgets},
     oriolehoist_platform::{InstanceList, Store},
-    oriolehoist_protocol::{Incarnation, ServiceName, Witness, ZoneName},
+    oriolehoist_protocol::{
+        Incarnation, InstanceName, ServiceName, SuspectNotice, SuspectReport, Witness, ZoneName,
+    },
     oriolehoist_publish::Published,
     oriolehoist_reach::{Paths, Peers},
     oriolehoist_refusal::KeyRing,
-    oriolehoist_time::Clock,
+    oriolehoist_time::{Clock, Millis},
     std::{
         collections::HashSet,
         net::{IpAddr, SocketAddr},
         sync::{
-            Mutex,
+            Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
     },
@@ -59,7 +65,7 @@
     pub(crate) metrics: Metrics,
     /// The settings and assignments by which the traffic threads route.
     pub(crate) view: Published<View>,
-    pub(crate) crash_suspects: Mutex<CrashSuspects>,
+    crash_suspects: Mutex<CrashSuspects>,
     pub(crate) retry_budgets: Mutex<RetryBudgets<ServiceName>>,
     pub(crate) stopping: AtomicBool,
     /// The live peers, as the control actor last published them.
@@ -107,6 +113,31 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns the requests that were in flight at servers that crashed.
+    pub(crate) fn crash_suspects(&self) -> MutexGuard<'_, CrashSuspects> {
+        self.crash_suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records a request as a suspect of a crash that `source` has observed.
+    pub(crate) fn record_suspect(&self, notice: SuspectNotice, source: &str) {
+        let (request, crash) = (Fingerprint(notice.fingerprint), CrashId(notice.crashed.0));
+        if self.crash_suspects().on_crash(self.clock.now(), request, crash) {
+            report_quarantined(request, source);
+        }
+    }
+
+    /// Adds the suspects that another daemon knows.
+    pub(crate) fn merge_suspects(
+        &self,
+        now: Millis,
+        reports: &[SuspectReport],
+        source: &InstanceName,
+    ) {
+        for request in self.crash_suspects().merge(now, reports) {
+            report_quarantined(request, source.as_str());
+        }
+    }
+
     /// Returns an id that is unique across daemons and restarts, for an exchange with a backend
     /// server or a write of a term record.
     pub(crate) fn next_unique_id(&self) -> String {
@@ -114,3 +145,7 @@
         format!("{}-{:x}-{count}", self.identity.instance, self.identity.incarnation.0)
     }
 }
+
+fn report_quarantined(request: Fingerprint, source: &str) {
+    report(Event::RequestQuarantined, format_args!("fingerprint={request} from={source}"));
+}
--- a/crates/oriolehoist_daemon/src/request/quarantine.rs
+++ b/crates/oriolehoist_daemon/src/request/quarantine.rs
@@ -6,16 +6,11 @@
         process::{DaemonContext, Event, io_kind, report},
         request::{exchange::incarnation_of, parse::ParsedRequest, refusal::Refusal},
     },
-    oriolehoist_admission::{CrashId, Fingerprint, FingerprintBuilder, SendDecision},
+    oriolehoist_admission::{Fingerprint, FingerprintBuilder, SendDecision},
     oriolehoist_protocol::{Incarnation, SIGHT_PATH, ServerSight, SuspectNotice},
     oriolehoist_refusal::RefusalKind,
     oriolehoist_time::Millis,
-    std::{
-        io::ErrorKind,
-        net::SocketAddr,
-        sync::{Arc, PoisonError},
-        time::Duration,
-    },
+    std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -55,7 +50,7 @@
     cx: &DaemonContext,
     fingerprint: Fingerprint,
 ) -> Result<SendDecision, Refusal> {
-    let suspects = cx.crash_suspects.lock().unwrap_or_else(PoisonError::into_inner);
+    let suspects = cx.crash_suspects();
     match suspects.send_decision(cx.clock.now(), fingerprint) {
         SendDecision::Quarantined(left) => {
             let refusal =
@@ -68,7 +63,7 @@
 
 /// Clears the suspicion of a request that got a complete response.
 pub(crate) fn clear_suspicion(cx: &DaemonContext, fingerprint: Fingerprint) {
-    let mut suspects = cx.crash_suspects.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut suspects = cx.crash_suspects();
     if !suspects.is_empty() {
         suspects.on_answered(fingerprint);
     }
@@ -89,13 +84,9 @@
         Event::ServerCrashed,
         format_args!("server {}: it refuses connections or has a new incarnation", backend.name),
     );
-    let now = cx.clock.now();
-    cx.crash_suspects.lock().unwrap_or_else(PoisonError::into_inner).on_crash(
-        now,
-        fingerprint,
-        CrashId(crashed.0),
-    );
-    notify_peers(cx, SuspectNotice { fingerprint: fingerprint.0, crashed }).await;
+    let notice = SuspectNotice { fingerprint: fingerprint.0, crashed };
+    cx.record_suspect(notice, "crash");
+    notify_peers(cx, notice).await;
 }
 
 /// Probes the server's health on new connections. A crashed server refuses them, or has a new
--- a/crates/oriolehoist_protocol/src/peer.rs
+++ b/crates/oriolehoist_protocol/src/peer.rs
@@ -95,6 +95,9 @@
     /// The build of the daemon's program. Missing in older versions.
     #[serde(default)]
     pub build: Option<SmolStr>,
+    /// The requests that may have crashed servers. Missing if the daemon knows none, and in older versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub suspects: Option<SuspectNews>,
 }
 
 /// A daemon's last contact with the assigner of one service.
