Reject responses whose status HTTP does not have

Seen: reported of other systems, a caller got a status 000 as an answer. Here the number was not passed on, but a response with 000 to 099 or 101 was skipped as an interim one: callers waited until their deadline (1.5 s, no second attempt), or got the body of that response as the answer with 200 if it was a complete response itself. An order answered so counted as carried out. On the own interface 101 was passed on as the answer. Cause: the reader took any three digits for a status, and every one below 200 for an interim response without a body. Change: a final status, from 200 to 999, has a type. Anything else is malformed at once, and the connection is reset: 000 to 099, 101, which no request asks for, and an interim response that announces a body. A reply of another daemon with such a status is malformed too. The own interface takes no 101 for an answer. Requests, orders, health checks, load probes, hand-overs and the store have the same reader.

--- a/crates/oriolehoist_daemon/src/request/exchange.rs
+++ b/crates/oriolehoist_daemon/src/request/exchange.rs
@@ -159,6 +159,10 @@
     response: Response,
 ) -> ExchangeOutcome {
     let status = response.status();
+    if status.is_informational() {
+        // The server switches to a protocol that no request asked for.
+        return ExchangeOutcome::Interrupted;
+    }
     let headers = response.headers().clone();
     if let Some(incarnation) = incarnation_of(&headers) {
         backend.on_incarnation(incarnation);
--- a/crates/oriolehoist_daemon/src/request/handover.rs
+++ b/crates/oriolehoist_daemon/src/request/handover.rs
@@ -139,7 +139,8 @@
     match cx.peers.call::<Reply>(peer, HANDOVER_PATH, &message, wait).await {
         Ok(HandOverReply::Response { status, headers, body, .. }) => {
             guard.end = HandOverEnd::Handled;
-            match (StatusCode::from_u16(status).ok(), headers.decode()) {
+            let status = StatusCode::from_u16(status).ok();
+            match (status.filter(|status| !status.is_informational()), headers.decode()) {
                 (Some(status), Some(headers)) => {
                     Asked::Response(ServerResponse { status, headers, body })
                 }
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -290,7 +290,11 @@
                         && remaining.is_empty()
                         && buf.is_empty(),
                     keep_alive_secs: head.idle_seconds(),
-                    response: HttpResponse { status: head.status, headers: head.headers, body },
+                    response: HttpResponse {
+                        status: head.status.into(),
+                        headers: head.headers,
+                        body,
+                    },
                 });
             }
         }
@@ -318,7 +322,6 @@
         loop {
             match self.partial.take() {
                 None => match parse_response_head(buf, MAX_HEAD_BYTES) {
-                    Ok(Some(head)) if head.status < 200 => {}
                     Ok(Some(head)) => {
                         let length = head.body_length(self.method).map_err(|_| {
                             CallError::InvalidResponse("ambiguous response framing")
--- a/crates/oriolehoist_edge/src/request/handover.rs
+++ b/crates/oriolehoist_edge/src/request/handover.rs
@@ -16,6 +16,7 @@
     },
     http::{HeaderMap, Method},
     oriolehoist_forwarding::{DaemonEnd, HandOverNext, WAY_ALLOWANCE},
+    oriolehoist_http1::FinalStatus,
     oriolehoist_log::{Event, report},
     oriolehoist_port::{HttpRequest, HttpResponse, Route},
     oriolehoist_protocol::{HANDOVER_PATH, HandOverReply, MessageHeaders},
@@ -121,10 +122,11 @@
     match exchange(cx, request, connection, peer, max_attempts).await {
         Ok(HandOverReply::Response { server, status, headers, body }) => {
             guard.end = HandOverEnd::Handled;
-            let Some(headers) = headers.decode() else {
+            let (Some(headers), Ok(status)) = (headers.decode(), FinalStatus::try_from(status))
+            else {
                 return Asked::Ended(DaemonEnd::Malformed);
             };
-            let response = HttpResponse { status, headers, body };
+            let response = HttpResponse { status: status.into(), headers, body };
             // What the server says of itself binds this daemon too.
             if let Some(backend) = request.view.backends.get(&server) {
                 let absence = Absence::SaysNothing;
--- a/crates/oriolehoist_http1/src/head.rs
+++ b/crates/oriolehoist_http1/src/head.rs
@@ -1,13 +1,15 @@
 use {
     crate::BodyLength,
     bytes::{Buf, BytesMut},
-    derive_more::{Display, Error},
+    derive_more::{Display, Error, Into},
     http::{HeaderMap, HeaderName, HeaderValue, Method, header},
     httparse::{EMPTY_HEADER, Status},
 };
 
 /// Maximum number of headers in a message.
 const MAX_HEADERS: usize = 128;
+/// The status of an interim response after which the connection speaks another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Error when the head of a message is parsed.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -32,11 +34,27 @@
     minor_version: u8,
 }
 
-/// Status line and headers.
+/// The status of a final response, from 200 to 999. Those from 600 on have no meaning in HTTP, and are
+/// passed on as they are.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Into)]
+pub struct FinalStatus(u16);
+
+impl TryFrom<u16> for FinalStatus {
+    type Error = HeadError;
+
+    fn try_from(status: u16) -> Result<FinalStatus, HeadError> {
+        match status {
+            200..=999 => Ok(FinalStatus(status)),
+            _ => Err(HeadError::Malformed),
+        }
+    }
+}
+
+/// Status line and headers of a final response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
-    /// The status code.
-    pub status: u16,
+    /// The status.
+    pub status: FinalStatus,
     /// The headers.
     pub headers: HeaderMap,
     minor_version: u8,
@@ -65,25 +83,39 @@
     Ok(Some(head))
 }
 
-/// Consumes the head of a response at the front of `buf`. Returns `None` if it is incomplete.
+/// Consumes the head of a final response at the front of `buf`, and the interim responses before it. Returns
+/// `None` if it is incomplete.
 ///
 /// # Errors
 ///
-/// Returns an error if the head is malformed or larger than `limit` bytes.
+/// Returns an error if a head is malformed or larger than `limit` bytes. That includes a status that HTTP
+/// does not have, a switch to a protocol that no request asked for, and an interim response with a body:
+/// what follows these could be taken for the response.
 pub fn parse_response_head(
     buf: &mut BytesMut,
     limit: usize,
 ) -> Result<Option<ResponseHead>, HeadError> {
-    let mut header_slots = [EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Response::new(&mut header_slots);
-    let Some(length) = head_length(parsed.parse(buf), buf.len(), limit)? else { return Ok(None) };
-    let head = ResponseHead {
-        status: parsed.code.unwrap_or_default(),
-        headers: convert_headers(parsed.headers)?,
-        minor_version: parsed.version.unwrap_or(1),
-    };
-    buf.advance(length);
-    Ok(Some(head))
+    loop {
+        let mut header_slots = [EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut header_slots);
+        let length = head_length(parsed.parse(buf), buf.len(), limit)?;
+        let Some(length) = length else { return Ok(None) };
+        let headers = convert_headers(parsed.headers)?;
+        let status = parsed.code.unwrap_or_default();
+        let minor_version = parsed.version.unwrap_or(1);
+        buf.advance(length);
+        match status {
+            SWITCHING_PROTOCOLS => return Err(HeadError::Malformed),
+            100..=199 => match parse_framing(&headers)? {
+                None | Some(BodyLength::Sized(0)) => {}
+                Some(_) => return Err(HeadError::Malformed),
+            },
+            _ => {
+                let status = FinalStatus::try_from(status)?;
+                return Ok(Some(ResponseHead { status, headers, minor_version }));
+            }
+        }
+    }
 }
 
 /// Returns the length of a parsed head, or `None` if the head is incomplete.
@@ -140,7 +172,7 @@
     ///
     /// Returns [`HeadError::Malformed`] if the framing is ambiguous.
     pub fn body_length(&self, method: &Method) -> Result<BodyLength, HeadError> {
-        let no_body = *method == Method::HEAD || matches!(self.status, 100..=199 | 204 | 304);
+        let no_body = *method == Method::HEAD || matches!(u16::from(self.status), 204 | 304);
         match parse_framing(&self.headers)? {
             _ if no_body => Ok(BodyLength::Sized(0)),
             Some(framing) => Ok(framing),
--- a/crates/oriolehoist_http1/src/lib.rs
+++ b/crates/oriolehoist_http1/src/lib.rs
@@ -22,7 +22,7 @@
     body_memory::BodyMemory,
     encode::{encode_request, encode_response},
     head::{
-        HeadError, RequestHead, ResponseHead, end_to_end_headers, parse_request_head,
+        FinalStatus, HeadError, RequestHead, ResponseHead, end_to_end_headers, parse_request_head,
         parse_response_head,
     },
 };
--- a/crates/oriolehoist_http1/tests/messages.rs
+++ b/crates/oriolehoist_http1/tests/messages.rs
@@ -119,3 +119,30 @@
     expect_that!(decoded.body_length(&Method::GET), ok(eq(BodyLength::Sized(2))));
     expect_that!(decoded.is_keep_alive(), eq(false));
 }
+
+/// Guards against a body that is read as the next head, because the response before it has a status that HTTP
+/// does not have, switches to another protocol, or is an interim one with a body.
+#[gtest]
+fn a_response_that_is_neither_final_nor_interim_is_malformed() {
+    let head = |status: &str, headers: &str| {
+        let text = format!("HTTP/1.1 {status}\r\n{headers}\r\nHTTP/1.1 200 OK\r\n\r\n");
+        let head = parse_response_head(&mut BytesMut::from(text.as_str()), MAX_BYTES);
+        head.map(|head| head.map(|head| u16::from(head.status)))
+    };
+    for status in (0..100).chain([101]) {
+        let status = format!("{status:03} Reason");
+        expect_that!(head(&status, ""), err(eq(HeadError::Malformed)), "{status}");
+    }
+    for framing in ["content-length: 5", "content-length: x", "transfer-encoding: chunked"] {
+        let headers = format!("{framing}\r\n");
+        expect_that!(head("103 Early Hints", &headers), err(eq(HeadError::Malformed)), "{framing}");
+    }
+    for status in [100, 102, 103, 199] {
+        let status = format!("{status} Reason");
+        expect_that!(head(&status, ""), ok(some(eq(200))), "{status}");
+        expect_that!(head(&status, "content-length: 0\r\n"), ok(some(eq(200))), "{status}");
+    }
+    for status in (200..1000).filter(|status| status % 7 == 4 || status % 100 == 0) {
+        expect_that!(head(&format!("{status} Reason"), ""), ok(some(eq(status))));
+    }
+}
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -29,6 +29,7 @@
 mod server_statements;
 mod servers;
 mod silent_connections;
+mod statuses;
 mod stopping;
 mod stops_with_long_work;
 mod store;
