Don't make a quarantine longer by storing it again, or by a late notice

An assigner that had read requests in quarantine from the store wrote them again in its term, as if they had just begun, so that repeated restarts of all daemons could keep a request in quarantine for ever. A notice of a known crash that came late made an answered request a suspect again, and kept it longer. Change: when the requests are stored is decided by `SuspectWrites`, without I/O: in each term, also one that is claimed again in a later era of the store, the stored ones are read first, and are not written for their own sake. A crash that is known is not recorded again.

--- a/crates/oriolehoist_admission/src/crash_suspects.rs
+++ b/crates/oriolehoist_admission/src/crash_suspects.rs
@@ -98,6 +98,9 @@
             return false;
         }
         let Some(record) = self.record(request) else { return false };
+        if record.crashes.contains_key(&crash) {
+            return false;
+        }
         let expires_at = now + SUSPECT_TTL;
         record.insert(crash, Crash { expires_at, cleared: false });
         self.is_in_quarantine(request)
@@ -243,15 +246,15 @@
 }
 
 impl SuspectRecord {
+    /// Adds or replaces a crash. If there is no room for a new one, the one that matters least is dropped.
     fn insert(&mut self, id: CrashId, crash: Crash) {
-        let known = self.crashes.get(&id);
-        if known.is_none() && self.crashes.len() >= MAX_CRASHES {
+        self.crashes.insert(id, crash);
+        if self.crashes.len() > MAX_CRASHES {
             let weight = |crash: &Crash| (!crash.cleared, crash.expires_at);
             let least = self.crashes.iter().min_by_key(|(_, crash)| weight(crash));
             let least = least.map(|(id, _)| *id);
-            least.map(|id| self.crashes.remove(&id));
+            self.crashes.retain(|id, _| Some(*id) != least);
         }
-        self.crashes.insert(id, crash);
     }
 
     /// Returns the number of crashes after which the request was not answered.
--- a/crates/oriolehoist_admission/src/lib.rs
+++ b/crates/oriolehoist_admission/src/lib.rs
@@ -40,6 +40,7 @@
 mod reports;
 mod retry;
 mod route_work;
+mod suspect_writes;
 mod warm_up;
 
 pub use {
@@ -67,5 +68,6 @@
     reports::{GroupReports, ReportLateness, ReportOrder},
     retry::{RetryBudget, RetryBudgets},
     route_work::{RouteWork, RouteWorks},
+    suspect_writes::SuspectWrites,
     warm_up::{MAX_WARM_UP, WarmUp, WarmUpPolicy, WarmUpReport},
 };
--- a/crates/oriolehoist_admission/tests/crash_suspects.rs
+++ b/crates/oriolehoist_admission/tests/crash_suspects.rs
@@ -3,7 +3,7 @@
 use {
     googletest::prelude::*,
     oriolehoist_admission::{
-        CrashId, CrashSuspects, Fingerprint, FingerprintBuilder, SendDecision,
+        CrashId, CrashSuspects, Fingerprint, FingerprintBuilder, SendDecision, SuspectWrites,
     },
     oriolehoist_protocol::{CrashReport, Incarnation, SuspectReport},
     oriolehoist_time::Millis,
@@ -100,6 +100,20 @@
     expect_that!(known.digest(now), eq(cleared.digest(now)));
 }
 
+/// Guards against a notice of a known crash that comes late, and makes an answered request a suspect again.
+#[gtest]
+fn a_late_notice_of_a_known_crash_changes_nothing() {
+    let mut suspects = after_crashes([1, 2]);
+    suspects.on_answered(REQUEST);
+    for crash in [1, 2, 1] {
+        expect_that!(suspects.on_crash(Millis::from_secs(9), REQUEST, CrashId(crash)), eq(false));
+    }
+    expect_that!(suspects.send_decision(Millis::from_secs(9), REQUEST), eq(SendDecision::Allow));
+    // Nor is it kept longer.
+    suspects.expire(Millis::from_secs(61));
+    expect_that!(suspects.is_empty(), eq(true));
+}
+
 /// Guards against a table that drops the one record that matters because it is full of others.
 #[gtest]
 fn a_full_table_keeps_the_requests_in_quarantine() {
@@ -219,3 +233,45 @@
         }
     }
 }
+
+fn in_quarantine(requests: &[u64]) -> Vec<SuspectReport> {
+    let report = |request: &u64| SuspectReport { fingerprint: *request, crashes: Vec::new() };
+    requests.iter().map(report).collect()
+}
+
+/// Guards against a quarantine that begins anew at each restart of all daemons.
+#[gtest]
+fn requests_that_were_read_are_not_stored_again_for_their_own_sake() {
+    let mut writes = SuspectWrites::default();
+    let (now, known) = (Millis(50), in_quarantine(&[1, 2]));
+    writes.on_term(7);
+    // What is stored is not known yet, or is that of another term.
+    expect_that!(writes.start(now, 7, &known), eq(false));
+    writes.on_read(6, [].into());
+    expect_that!(writes.start(now, 7, &known), eq(false));
+    writes.on_read(7, [Fingerprint(1), Fingerprint(2)].into());
+    expect_that!(writes.start(now, 7, &known), eq(false));
+    expect_that!(writes.start(now, 8, &in_quarantine(&[3])), eq(false));
+    expect_that!(writes.start(now, 7, &in_quarantine(&[1, 2, 3])), eq(true));
+}
+
+/// Guards against calls without a bound, for any number of requests and while the store fails.
+#[gtest]
+fn requests_are_stored_once_a_second_and_less_often_while_that_fails() {
+    let mut writes = SuspectWrites::default();
+    writes.on_term(7);
+    writes.on_read(7, [].into());
+    let mut started = Vec::new();
+    let mut requests = Vec::new();
+    for now in (0..20_000).step_by(25) {
+        requests.push(now);
+        if writes.start(Millis(now), 7, &in_quarantine(&requests)) {
+            expect_that!(writes.start(Millis(now), 7, &in_quarantine(&requests)), eq(false));
+            started.push(now);
+            let is_stored = now < 5000;
+            let written = requests.iter().map(|request| Fingerprint(*request)).collect();
+            writes.on_written(Millis(now), 7, is_stored.then_some(written));
+        }
+    }
+    expect_that!(started, eq(&[0, 1000, 2000, 3000, 4000, 5000, 7000, 11_000, 19_000]));
+}
--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -11,13 +11,13 @@
             peers::confirm_last_term,
             relay::RelayDuty,
             server_speeds::ServerSpeeds,
-            stored_suspects::SuspectWriter,
             tasks::MEMBER_REWRITE_PERIOD,
         },
         process::{LoadPeers, Shared},
         request::DRAIN_MARGIN,
     },
     kameo::{Actor, actor::ActorRef},
+    oriolehoist_admission::SuspectWrites,
     oriolehoist_backoff::CallKind,
     oriolehoist_fleet::{Standing, claim_delay, election_delay},
     oriolehoist_keyspace::AssignmentTable,
@@ -74,8 +74,8 @@
     pub(super) asked: Vec<u32>,
     /// How long servers take for a request, according to all daemons.
     pub(super) speeds: ServerSpeeds,
-    /// What is stored of the requests in quarantine, if this daemon is the assigner.
-    pub(super) suspect_writer: SuspectWriter,
+    /// When the requests in quarantine are stored, if this daemon is the assigner.
+    pub(super) suspect_writes: SuspectWrites,
     /// Since when a watch of the servers has been waiting for changes, if one has.
     watching_since: Option<Millis>,
     /// Since when a watch of the configuration has been waiting for changes, if one has.
@@ -115,7 +115,7 @@
             relay: None,
             asked: Vec::new(),
             speeds: ServerSpeeds::default(),
-            suspect_writer: SuspectWriter::default(),
+            suspect_writes: SuspectWrites::default(),
             watching_since: None,
             config_watched_since: None,
             evacuations_watched_since: None,
@@ -415,7 +415,10 @@
                 });
                 self.tick(control);
             }
-            Input::SuspectsWritten { term, stored } => self.on_suspects_written(term, stored),
+            Input::SuspectsRead { term, stored } => self.suspect_writes.on_read(term.0, stored),
+            Input::SuspectsWritten { term, written } => {
+                self.suspect_writes.on_written(now, term.0, written);
+            }
             Input::OrderEnded { term, service, order_id, outcome } => {
                 let current = match &mut self.role {
                     Role::Assigner(assigner) => Some(assigner),
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -79,8 +79,10 @@
     LeaseRenewed { term: Revision, sent_at: Millis, response: Result<StoreResponse, StoreError> },
     /// A write of the table has ended.
     TableWritten { term: Revision, version: u64, outcome: TableWrite },
-    /// A write of the requests in quarantine has ended. `stored` are these requests, if it succeeded.
-    SuspectsWritten { term: Revision, stored: Option<HashSet<Fingerprint>> },
+    /// The requests in quarantine that were stored before a term.
+    SuspectsRead { term: Revision, stored: HashSet<Fingerprint> },
+    /// A write of the requests in quarantine has ended. `written` are these requests, if it succeeded.
+    SuspectsWritten { term: Revision, written: Option<HashSet<Fingerprint>> },
     /// An order has ended.
     OrderEnded { term: Revision, service: SmolStr, order_id: OrderId, outcome: OrderOutcome },
 }
--- a/crates/oriolehoist_edge/src/control/reclaim.rs
+++ b/crates/oriolehoist_edge/src/control/reclaim.rs
@@ -155,7 +155,11 @@
 
     /// Continues with what this daemon knows as the last assigner, in the term that it has won.
     /// Returns whether it could.
-    pub(super) fn resume_retired(&mut self, outcome: &ElectionOutcome) -> bool {
+    pub(super) fn resume_retired(
+        &mut self,
+        control: &ActorRef<Control>,
+        outcome: &ElectionOutcome,
+    ) -> bool {
         let now = self.now();
         let ElectionOutcome::Won { term_lease, fences, .. } = outcome else { return false };
         let Some(mut assigner) = self.retired.take() else { return false };
@@ -165,13 +169,17 @@
         assigner.wait_for_servers(self.state.registry.settles_at());
         assigner.on_servers(now, &self.state, true);
         self.role = Role::Assigner(assigner);
-        self.begin_term(term_lease.term);
+        self.begin_term(control, term_lease.term);
         true
     }
 
     /// Handles the result of a claim by a suspended assigner. Returns it if it is to be handled like
     /// that of any other daemon.
-    pub(super) fn on_reclaimed(&mut self, outcome: ElectionOutcome) -> Option<ElectionOutcome> {
+    pub(super) fn on_reclaimed(
+        &mut self,
+        control: &ActorRef<Control>,
+        outcome: ElectionOutcome,
+    ) -> Option<ElectionOutcome> {
         let now = self.now();
         let Role::Assigner(assigner) = &mut self.role else { return Some(outcome) };
         let Some(suspension) = &mut assigner.suspension else { return Some(outcome) };
@@ -179,7 +187,7 @@
         match outcome {
             ElectionOutcome::Won { term_lease, fences, .. } if known_state_is_current => {
                 assigner.resume(now, term_lease, fences);
-                self.begin_term(term_lease.term);
+                self.begin_term(control, term_lease.term);
                 None
             }
             ElectionOutcome::Won { term_lease, .. } => {
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -409,7 +409,8 @@
                 self.send_input(Input::StoredTable(item.value)).await;
             }
             // All daemons may have ended, so that none knows the requests in quarantine.
-            return read_suspects(&self.cx, &self.store).await;
+            read_suspects(&self.cx, &self.store).await;
+            return;
         }
     }
 
--- a/crates/oriolehoist_edge/src/control/term.rs
+++ b/crates/oriolehoist_edge/src/control/term.rs
@@ -8,7 +8,6 @@
         fanout::Fanout,
         field::OrDash,
         message::ElectionOutcome,
-        stored_suspects::read_suspects,
     },
     kameo::actor::ActorRef,
     oriolehoist_log::{Event, report},
@@ -33,7 +32,7 @@
             }
             outcome => outcome,
         };
-        let Some(outcome) = self.on_reclaimed(outcome) else { return };
+        let Some(outcome) = self.on_reclaimed(control, outcome) else { return };
         match (&self.role, &outcome) {
             (Role::Assigner(_), ElectionOutcome::Won { term_lease, .. }) => {
                 return self.revoke_lease(term_lease.lease);
@@ -42,7 +41,7 @@
             _ => {}
         }
         self.role = Role::Follower { next_election_at: now + ELECTION_RETRY_DELAY };
-        if candidacy.is_last_assigner && self.resume_retired(&outcome) {
+        if candidacy.is_last_assigner && self.resume_retired(control, &outcome) {
             return self.tick(control);
         }
         let ElectionOutcome::Won { term_lease, table, fences } = outcome else { return };
@@ -51,17 +50,15 @@
         assigner.wait_for_servers(self.state.registry.settles_at());
         self.retired = None;
         self.fanout = Fanout::default();
-        self.begin_term(term_lease.term);
+        self.begin_term(control, term_lease.term);
         self.role = Role::Assigner(Box::new(assigner));
         // The members known from the previous assigner, until the registered ones have been read.
         self.registered_members = self.state.members.get().values().cloned().collect();
-        let (cx, store) = (Arc::clone(&self.cx), Arc::clone(&self.store));
-        tokio::spawn(async move { read_suspects(&cx, &store).await });
         self.tick(control);
     }
 
     /// Begins a term as the assigner.
-    pub(super) fn begin_term(&mut self, term: Revision) {
+    pub(super) fn begin_term(&mut self, control: &ActorRef<Control>, term: Revision) {
         self.term = term.0;
         self.relay = None;
         let era = OrDash(self.cx.store_era());
@@ -70,6 +67,7 @@
         let version = self.next_version(TermVersion::default());
         self.state.members.set_version(version);
         self.state.routes.set_version(version);
+        self.read_stored_suspects(control, term);
     }
 
     pub(super) fn revoke_lease(&self, lease: LeaseId) {
