List the loss of crash suspects with all daemons of the own interface

Cause: its daemons tell each other of suspects, but store none, so nothing is left if all of them are killed at the same time.

--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -51,6 +51,7 @@
     answers_cut_short
     answers_late
     answers_on_silent_connections
+    crash_request_after_loss_of_all
     crash_request_after_restarts
     crash_request_is_quarantined
     leaving_server_drained_by_an_operator
