Test invalid statuses and crash suspects where they were only read before

Cause: of invalid statuses, health checks, load probes and hand-overs had no test of their own; of crash suspects, daemons that are cut off from the others and from the store had none, as connections between daemons could not be cut. Change: tests only. The stand-in of the deployment can put proxies between daemons. A daemon, the assigner or another one, is cut off before the first crash or before the third, must not have heard of the quarantine then, and must know it when it is back. The stand-in servers and a stand-in member give invalid statuses with a body that is a valid response.

--- a/crates/oriolehoist_testkit/src/users_platform/mod.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/mod.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod deployment;
 mod grants;
+mod peer_network;
 mod probed_server;
 mod raw_server;
 mod scripted_server;
@@ -18,6 +19,7 @@
     daemon::Daemon,
     deployment::{Deployment, HOST, STORE_EDGE, server_edge},
     grants::AcceptedGrant,
+    peer_network::peer_edge,
     probed_server::{ProbedArrivals, ProbedBehaviour, ProbedServer},
     raw_server::{RawServer, ResponseFault},
     scripted_server::{ScriptedCall, ScriptedEnd, ScriptedReply, ScriptedServer, raw_response},
--- a/crates/oriolehoist_testkit/src/users_platform/probed_server.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/probed_server.rs
@@ -32,6 +32,9 @@
     pub health_id: Option<String>,
     /// Whether responses to health checks carry the id of a request.
     pub names_request: bool,
+    /// The status line of an invalid response whose body is the whole response to a health check, if
+    /// health checks get one.
+    pub invalid_health_status: Option<&'static str>,
     /// Whether requests are refused as not run, without naming them.
     pub refuses_requests: bool,
 }
@@ -45,6 +48,7 @@
             extra_response: None,
             health_id: None,
             names_request: false,
+            invalid_health_status: None,
             refuses_requests: false,
         }
     }
@@ -192,6 +196,10 @@
         let id = self.behaviour.health_id.clone().unwrap_or_else(|| self.id.clone());
         let named = if self.behaviour.names_request { "x-request-id: another\r\n" } else { "" };
         let response = self.response("200 OK", &id, named, "");
+        let response = match self.behaviour.invalid_health_status {
+            Some(status) => self.response(status, &id, named, &response),
+            None => response,
+        };
         self.check_pipelining()?;
         self.write(&response).await?;
         if let Some(delay) = self.behaviour.extra_response {
--- a/tests/users_platform/handovers.rs
+++ b/tests/users_platform/handovers.rs
@@ -5,7 +5,7 @@
     crate::load::*,
     googletest::prelude::*,
     oriolehoist_testkit::{fault::Fault, users_platform::*},
-    reqwest::{Method, StatusCode},
+    reqwest::Method,
     std::{
         net::{IpAddr, SocketAddr},
         path::Path,
@@ -14,7 +14,7 @@
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::TcpStream,
         task::JoinSet,
         time::{sleep, timeout},
     },
@@ -303,12 +303,12 @@
     Ok(())
 }
 
-/// Starts a member that takes requests but responds to all of them with this status. Returns how many
-/// it has taken, by their ids.
+/// Starts a member that takes requests but responds to all of them with these bytes. Returns the ids of
+/// those that it has taken.
 async fn failing_member(
     deployment: &Deployment,
-    status: u16,
-) -> eyre::Result<Arc<Mutex<Vec<String>>>> {
+    response: Vec<u8>,
+) -> eyre::Result<(ScriptedServer, Arc<Mutex<Vec<String>>>)> {
     let taken: Arc<Mutex<Vec<String>>> = Arc::default();
     let mut octets = match deployment.daemons[0].peer_address.ip() {
         IpAddr::V4(ip) => ip.octets(),
@@ -317,25 +317,23 @@
     octets[3] = 200;
     let ip = IpAddr::from(octets);
     let recorded = Arc::clone(&taken);
-    let respond = move |body: axum::body::Bytes| {
-        let text = String::from_utf8_lossy(&body).into_owned();
+    let respond = move |call: &ScriptedCall| {
+        let text = String::from_utf8_lossy(&call.body);
         let ids = text.split("booking-").skip(1);
         let id = ids.map(|rest| rest.chars().take_while(char::is_ascii_digit).collect::<String>());
         recorded.lock().expect("the lock is not poisoned").extend(id.take(1));
-        async move { StatusCode::from_u16(status).unwrap_or_default() }
+        ScriptedReply { bytes: response.clone(), ..ScriptedReply::default() }
     };
-    let listener = TcpListener::bind((ip, 7722)).await?;
-    let router = axum::Router::new().route("/request", axum::routing::post(respond));
-    tokio::spawn(async move { axum::serve(listener, router).await });
+    let member = ScriptedServer::start(SocketAddr::new(ip, 7722), respond).await?;
     deployment.register_absent_daemon_at(0, SocketAddr::new(ip, 8166));
-    Ok(taken)
+    Ok((member, taken))
 }
 
-#[gtest]
-#[tokio::test(flavor = "multi_thread")]
-async fn a_booking_that_failed_at_another_daemon_is_not_called_not_run() -> eyre::Result<()> {
+/// Sends bookings to a cut daemon beside a member that responds with these bytes, and checks that those
+/// which the member has taken end as unknown, and the others don't.
+async fn check_failing_member(response: Vec<u8>) -> eyre::Result<()> {
     let (deployment, cut) = with_one_daemon_cut_off().await?;
-    let taken = failing_member(&deployment, 500).await?;
+    let (member, taken) = failing_member(&deployment, response).await?;
     sleep(SECOND * 2).await;
     // With requests in flight at the other daemons, this one gets some too.
     for server in &deployment.servers {
@@ -360,10 +358,40 @@
     taken.sort_unstable();
     expect_that!(taken, not(is_empty()));
     expect_that!(unknown, eq(&taken));
+    // The deadline is 1.5 s, and there is nothing to wait for.
+    let unknown = responses.iter().filter(|response| matches!(response.status, Some(502 | 504)));
+    expect_that!(unknown.map(|response| response.latency).max(), some(lt(SECOND)));
+    drop(member);
     clean_up(deployment);
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_that_failed_at_another_daemon_is_not_called_not_run() -> eyre::Result<()> {
+    check_failing_member(raw_response(500, &[], "")).await
+}
+
+/// Guards against a booking that counts as not taken because of what follows an invalid status, and
+/// against callers that wait for a response that is not to come.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_whose_handover_gets_an_invalid_status_is_not_called_not_run() -> eyre::Result<()>
+{
+    let not_taken = String::from_utf8(raw_response(404, &[], ""))?;
+    for (status, body) in
+        [("000 ", &*not_taken), ("099 Ninety-nine", ""), ("101 Other", &not_taken)]
+    {
+        let framing = match body {
+            "" => String::new(),
+            body => format!("content-length: {}\r\n", body.len()),
+        };
+        let response = format!("HTTP/1.1 {status}\r\n{framing}\r\n{body}");
+        check_failing_member(response.into_bytes()).await?;
+    }
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_says_in_a_health_check_that_it_leaves_is_heard() -> eyre::Result<()> {
--- a/tests/users_platform/load_probes.rs
+++ b/tests/users_platform/load_probes.rs
@@ -138,6 +138,18 @@
     expect_that!(named.probes("foreign"), ge(2));
     expect_that!(named.probes("answered"), eq(0));
 
+    // The response has a status that HTTP does not have, and a valid response as its body.
+    for (index, status) in [(58, "000 "), (59, "099 Ninety-nine"), (60, "101 Switching Protocols")]
+    {
+        let invalid_health_status = Some(status);
+        let invalid =
+            play(&deployment, index, ProbedBehaviour { invalid_health_status, ..normal() }).await?;
+        invalid.expect_all_served();
+        expect_that!(invalid.probes("failed"), ge(2), "{status}");
+        expect_that!(invalid.probes("answered"), eq(0), "{status}");
+        expect_that!(invalid.slowest(), lt(Duration::from_millis(400)), "{status}");
+    }
+
     // A server without the fourth number may let health checks wait.
     let health_delay = SECOND;
     let queues = ProbedBehaviour { work_percent: None, health_delay, ..normal() };
--- a/tests/users_platform/quarantine.rs
+++ b/tests/users_platform/quarantine.rs
@@ -37,15 +37,24 @@
     Ok(deployment)
 }
 
+/// Sends the request to these daemons until it has crashed three servers.
 async fn crash_servers(deployment: &Deployment, daemons: &[usize]) -> eyre::Result<()> {
+    crash_servers_until(deployment, daemons, CRASHES).await
+}
+
+async fn crash_servers_until(
+    deployment: &Deployment,
+    daemons: &[usize],
+    count: usize,
+) -> eyre::Result<()> {
     let started = Instant::now();
     for daemon in daemons.iter().cycle() {
         send_crashing(deployment, *daemon).await?;
         sleep(SECOND / 5).await;
-        if crashed(deployment) >= CRASHES {
+        if crashed(deployment) >= count {
             break;
         }
-        eyre::ensure!(started.elapsed() < SECOND * 10, "the request did not crash three servers");
+        eyre::ensure!(started.elapsed() < SECOND * 10, "the request did not crash {count} servers");
     }
     Ok(())
 }
@@ -182,6 +191,45 @@
     Ok(())
 }
 
+/// Cuts a daemon off from the others and from the store during the last crashes, and checks that it
+/// learns of them once it is back.
+async fn check_cut_off(cuts_assigner: bool) -> eyre::Result<()> {
+    for known_crashes in [0, CRASHES - 1] {
+        let deployment = deployment(DAEMONS as u8, 1, 24).await?;
+        deployment.add_peer_proxies().await?;
+        sleep(SECOND * 2).await;
+        if known_crashes > 0 {
+            crash_servers_until(&deployment, &[0, 1, 2, 3], known_crashes).await?;
+        }
+        let is_cut = |daemon: &Daemon| daemon.is_assigner() == cuts_assigner;
+        let cut = deployment.daemons.iter().position(is_cut).unwrap_or_default();
+        let others: Vec<usize> = (0..DAEMONS).filter(|daemon| *daemon != cut).collect();
+        deployment.cut_off_from_peers(cut);
+        sleep(CONTACT).await;
+        crash_servers(&deployment, &others).await?;
+        sleep(SECOND).await;
+        let log = deployment.daemons[cut].log();
+        expect_that!(log.contains("RequestQuarantined"), eq(false), "it is cut off");
+        deployment.network.clear_all_faults();
+        check_kept_from_servers(deployment, [cut]).await?;
+    }
+    Ok(())
+}
+
+/// Guards against a notice that does not reach a daemon, and that nobody repeats.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_was_cut_off_keeps_a_crashing_request_from_servers() -> eyre::Result<()> {
+    check_cut_off(false).await
+}
+
+/// Guards against an assigner that is cut off, and that has lost its role when it is back.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_assigner_that_was_cut_off_keeps_a_crashing_request_from_servers() -> eyre::Result<()> {
+    check_cut_off(true).await
+}
+
 /// Guards against a notice that is sent before a daemon starts, by one that is killed right after.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/users_platform/statuses.rs
+++ b/tests/users_platform/statuses.rs
@@ -4,13 +4,13 @@
 use {
     crate::load::*,
     googletest::prelude::*,
-    oriolehoist_testkit::users_platform::*,
+    oriolehoist_testkit::{fault::Fault, users_platform::*},
     reqwest::Method,
     std::{
         collections::HashSet,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -194,6 +194,45 @@
     Ok(())
 }
 
+/// Guards against a health check that shows a path to a server by what follows an invalid status.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_health_check_that_gets_an_invalid_status_restores_no_path() -> eyre::Result<()> {
+    let deployment = deployment(1, 1, 1).await?;
+    let (checks, is_valid) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    let (counted, answers) = (Arc::clone(&checks), Arc::clone(&is_valid));
+    let script = move |call: &ScriptedCall| match call.path.as_str() {
+        "/health" if answers.load(Ordering::Relaxed) => ScriptedReply {
+            bytes: raw_response(200, &[("x-instance-id", "i-50")], ""),
+            ..ScriptedReply::default()
+        },
+        "/health" => {
+            let count = counted.fetch_add(1, Ordering::Relaxed);
+            invalid(call, INVALID[count % INVALID.len()], Rest::Response)
+        }
+        _ => raw_reply(call),
+    };
+    let (server, edge) =
+        deployment.add_scripted_server_behind_proxy(SERVER, "plain", script).await?;
+    sleep(SECOND).await;
+    deployment.network.add_fault(None, &edge, Fault::Reset);
+    let load = Load::start(caller_addresses(&deployment), "health")?;
+    sleep(SECOND).await;
+    load.finish().await;
+    let has_logged = |text: &str| deployment.daemons[0].log().contains(text);
+    expect_that!(has_logged("PathLost: server=i-50"), eq(true));
+    deployment.network.clear_all_faults();
+    sleep(SECOND * 3).await;
+    expect_that!(checks.load(Ordering::Relaxed), ge(2));
+    expect_that!(has_logged("PathRestored: server=i-50"), eq(false));
+    is_valid.store(true, Ordering::Relaxed);
+    sleep(SECOND * 3).await;
+    expect_that!(has_logged("PathRestored: server=i-50"), eq(true));
+    drop(server);
+    clean_up(deployment);
+    Ok(())
+}
+
 /// The statuses from 600 to 999 have no meaning in HTTP, but a server's status is returned unchanged.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
