Don't confirm the configuration by a watch that may be silent for long

The test's logs had shown that the assigner was lost and a follower's watch of the configuration was waiting on a silent connection. Cause: a renewal of the assigner's lease confirms the configuration while a watch waits, as that would have reported a change. It says nothing of the watch's own connection. Watches of an assigner end before the configuration is stale, but a daemon that becomes the assigner may have one of 28 s, begun as a follower, so that for that long the configuration was never found stale, here or at the daemons that are told its age. A watch that had ended also counted until the next call, which may wait for a second. Change: only a watch that ends before the configuration is stale lets renewals confirm it. A daemon that becomes the assigner replaces a longer watch by a short one over a new connection. Watches of the configuration and of the evacuated zones count as waiting only while they do. The reader of the configuration has its own file.

--- a/crates/oriolehoist_edge/src/control/actor.rs
+++ b/crates/oriolehoist_edge/src/control/actor.rs
@@ -205,7 +205,7 @@
         self.sync_children(control);
         self.cx.expire_suspects();
         self.store_suspects(control);
-        if !matches!(self.role, Role::Assigner(_)) {
+        if !self.publish_role() {
             self.cx.metrics.set_evacuated_keys(0);
         }
         if self.expire_evacuations() || self.state.is_fleet_size_outdated(now) {
@@ -220,6 +220,13 @@
         self.update_readiness();
     }
 
+    /// Tells the tasks whether this daemon is the assigner, and returns that.
+    pub(super) fn publish_role(&self) -> bool {
+        let is_assigner = matches!(self.role, Role::Assigner(_));
+        self.cx.set_assigner_role(is_assigner);
+        is_assigner
+    }
+
     /// Returns after how long without a message from the assigner this daemon considers it lost.
     pub(super) fn assigner_timeout(&self) -> Millis {
         self.sync_interval + ASSIGNER_TIMEOUT
--- a/crates/oriolehoist_edge/src/control/evacuation_reader.rs
+++ b/crates/oriolehoist_edge/src/control/evacuation_reader.rs
@@ -7,6 +7,7 @@
             handlers::{ActorReply, GetStoreReadPlan},
             message::Input,
             store::{ConnectionChoice, StoreError},
+            tasks::IDLE_POLL_INTERVAL,
         },
         process::Shared,
     },
@@ -30,8 +31,6 @@
 /// The range of the random delay before a daemon that has just started reads the zones. The assigner may
 /// tell them meanwhile.
 const FIRST_READ_SPREAD_MS: u64 = 300;
-/// How often a reader that is not needed checks whether it has become needed.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The delay after a read of a stale set, which may be ignored as older than the known one.
 const REREAD_DELAY: Duration = Duration::from_millis(200);
 /// The maximum number of unusable keys that are logged.
@@ -80,14 +79,18 @@
         let result = match reader.after.filter(|_| watching) {
             Some(after) => {
                 let stale = reader.cx.clone();
-                tokio::select! {
-                    result = reader.watch(after) => result,
-                    () = stale.evacuations_stale(spread) => {
-                        reader.report_stale();
-                        is_stale = true;
-                        continue;
-                    }
-                }
+                let ended = tokio::select! {
+                    result = reader.watch(after) => Some(result),
+                    () = stale.evacuations_stale(spread) => None,
+                };
+                // The next call may have to wait.
+                tell(&control, Input::EvacuationsWatched(false)).await;
+                let Some(result) = ended else {
+                    reader.report_stale();
+                    is_stale = true;
+                    continue;
+                };
+                result
             }
             None => {
                 reader
@@ -112,7 +115,6 @@
             Err(_) => {
                 reader.after = None;
                 failed = true;
-                tell(&control, Input::EvacuationsWatched(false)).await;
             }
         }
     }
--- a/crates/oriolehoist_edge/src/control/handlers.rs
+++ b/crates/oriolehoist_edge/src/control/handlers.rs
@@ -104,7 +104,7 @@
     ) -> Self::Reply {
         ActorReply(StoreReadPlan {
             reads_servers: self.reads_servers(),
-            is_assigner: matches!(self.role, Role::Assigner(_)),
+            is_assigner: self.publish_role(),
             has_config: self.state.config.is_some(),
             has_routes: !self.state.key_routes().is_empty(),
             confirms_config_itself: self.confirms_config_itself(),
--- a/crates/oriolehoist_edge/src/control/message.rs
+++ b/crates/oriolehoist_edge/src/control/message.rs
@@ -57,8 +57,8 @@
     Servers { read_at: Millis, registry: Registry },
     /// The stored table was read while this daemon was starting.
     StoredTable(Bytes),
-    /// Whether a watch of the configuration is about to be sent. None is while it is read, or after
-    /// reading it failed.
+    /// Whether a watch of the configuration is about to be sent that ends before the configuration is
+    /// stale. A longer one may be silent for longer than that.
     ConfigWatched(bool),
     /// Whether a watch of the servers is about to be sent. None is if reading them failed or is not
     /// needed.
--- a/crates/oriolehoist_edge/src/control/mod.rs
+++ b/crates/oriolehoist_edge/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod claim;
 mod cluster_state;
 mod cold_servers;
+mod config_reader;
 mod election;
 mod evacuation_reader;
 mod evacuations;
--- a/crates/oriolehoist_edge/src/control/tasks.rs
+++ b/crates/oriolehoist_edge/src/control/tasks.rs
@@ -4,11 +4,12 @@
     crate::{
         control::{
             Control, StoreClient,
+            config_reader::follow_config,
             election::{MEMBERS_PREFIX, TABLE_KEY},
             evacuation_reader::follow_evacuations,
             handlers::{ActorReply, GetServers, GetStoreReadPlan, StoreReadPlan},
             load_gossip::run_load_gossip,
-            message::{ConfigSource, Input, Member},
+            message::{Input, Member},
             peer_query::{peer_to_ask, query_peer},
             peers::{broadcast_suspects, fetch_cluster_state},
             servers::ServerReader,
@@ -27,32 +28,20 @@
     },
     oriolehoist_time::Millis,
     std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration},
-    tokio::time::{MissedTickBehavior, interval, sleep, timeout},
+    tokio::time::{MissedTickBehavior, interval, sleep},
 };
 
 /// The time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
-/// How much shorter a watch that confirms the configuration is than the time after which that is
-/// stale. The response of a slow store takes about 300 ms.
-const CONFIG_WATCH_MARGIN: Millis = Millis(300);
-/// The maximum duration of a configuration watch for daemons that the assigner tells whether their
-/// configuration is current.
-const LONG_CONFIG_WATCH_TIMEOUT: Millis = Millis(28_000);
-/// How often a daemon that gets the configuration by way of relays checks that it still does.
-const RELAYED_CONFIG_INTERVAL: Duration = Duration::from_millis(250);
-/// The duration of a watch for changes that were already made.
-const CATCH_UP_TIMEOUT: Millis = Millis(1);
 /// The maximum duration of a watch of the members.
 const MEMBERS_WATCH_TIMEOUT: Millis = Millis(8000);
 /// The delay after a failed request.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-/// The delay before the configuration is read again after the store has discarded its history.
-const HISTORY_LOST_DELAY: Duration = Duration::from_millis(100);
 /// The delay before the servers are read again after a change, so that simultaneous changes are
 /// read together.
 const SERVERS_READ_INTERVAL: Duration = Duration::from_millis(200);
 /// How often a reader that is not needed checks whether it has become needed.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the entry of a member outlives its daemon. The assigner notices earlier that the daemon
 /// is gone.
 const MEMBER_LEASE_TTL: Millis = Millis::from_secs(60);
@@ -84,9 +73,9 @@
     tokio::spawn(run_load_gossip(Arc::clone(cx)));
     tokio::spawn(broadcast_suspects(Arc::clone(cx)));
     tokio::spawn(follow_evacuations(Arc::clone(cx), Arc::clone(store), control.clone()));
+    tokio::spawn(follow_config(Arc::clone(cx), Arc::clone(store), control.clone()));
     tokio::spawn(check_store(Arc::clone(cx), Arc::clone(store), control.clone()));
     tokio::spawn(tasks.clone().tick());
-    tokio::spawn(tasks.clone().follow_config());
     tokio::spawn(tasks.clone().follow_servers());
     tokio::spawn(tasks.clone().follow_members());
     tokio::spawn(tasks.clone().register(local.clone()));
@@ -120,90 +109,6 @@
         }
     }
 
-    /// Reads the operators' configuration and watches it for changes. A watch that waits on a silent
-    /// connection reports none, so a stale configuration is checked over a new one.
-    async fn follow_config(self) {
-        let key = self.cx.platform.configuration_key();
-        let mut after: Option<Revision> = None;
-        let mut is_stale = false;
-        loop {
-            let plan = self.store_read_plan().await;
-            if !is_stale && plan.is_some_and(|plan| plan.config_is_relayed) {
-                self.send_input(Input::ConfigWatched(false)).await;
-                is_stale = timeout(RELAYED_CONFIG_INTERVAL, self.cx.config_stale()).await.is_ok();
-                if is_stale {
-                    let age = self.cx.config_age();
-                    report(Event::SettingsStale, format_args!("confirmed_ms={}", age.0));
-                }
-                continue;
-            }
-            let is_assigner = plan.is_some_and(|plan| plan.is_assigner);
-            if !self.cx.try_call_store(CallKind::Configuration, is_assigner) {
-                sleep(IDLE_POLL_INTERVAL).await;
-                continue;
-            }
-            let wait = match plan {
-                _ if is_stale => CATCH_UP_TIMEOUT,
-                Some(plan) if !plan.confirms_config_itself => LONG_CONFIG_WATCH_TIMEOUT,
-                _ => self.cx.config_stale_after().since(CONFIG_WATCH_MARGIN),
-            };
-            let request = match after {
-                None => StoreRequest::Get(key.into()),
-                Some(after) => StoreRequest::Watch { prefix: key.into(), after, wait },
-            };
-            let waits = after.is_some() && !is_stale;
-            // Before the first one there is nothing that can be stale.
-            let has_config = plan.is_some_and(|plan| plan.has_config);
-            self.send_input(Input::ConfigWatched(waits)).await;
-            let connection = if is_stale { ConnectionChoice::New } else { ConnectionChoice::Any };
-            let (response, call) = tokio::select! {
-                result = self.store.traced_call(request, connection) => result,
-                () = self.cx.config_stale(), if waits && has_config => {
-                    let age = self.cx.config_age();
-                    report(Event::SettingsStale, format_args!("confirmed_ms={}", age.0));
-                    is_stale = true;
-                    continue;
-                }
-            };
-            is_stale = false;
-            match response {
-                Ok(StoreResponse::Item { item: Some(item), revision }) => {
-                    after = Some(revision);
-                    let source = ConfigSource::Store(call);
-                    self.send_input(Input::Config { bytes: item.value, source }).await;
-                }
-                // The operators have not written one yet.
-                Ok(StoreResponse::Item { item: None, revision }) => after = Some(revision),
-                Ok(StoreResponse::Changes { mut changes, revision }) => {
-                    after = after.max(Some(revision));
-                    // Keys of other programs may begin with this one.
-                    changes.retain(|change| change.key() == key);
-                    // A watch that has waited for its whole duration has read the store after that.
-                    let waited = call.ended_at.since(call.started_at) >= wait;
-                    let read_at = if waited { call.started_at + wait } else { call.started_at };
-                    if changes.is_empty() {
-                        self.send_input(Input::ConfigConfirmed(read_at)).await;
-                    }
-                    for change in changes {
-                        if let Change::Written(item) = change {
-                            let source = ConfigSource::Store(call);
-                            self.send_input(Input::Config { bytes: item.value, source }).await;
-                        }
-                    }
-                }
-                Err(StoreError::Interrupted) => {}
-                // The store has discarded the history since `after`. The configuration is read
-                // again, and the watch continues from there.
-                Ok(StoreResponse::HistoryCompacted) => {
-                    after = None;
-                    sleep(HISTORY_LOST_DELAY).await;
-                }
-                // A change may have been missed, so the configuration is read again.
-                _ => after = None,
-            }
-        }
-    }
-
     /// Reads the servers while this daemon is the assigner, or its list from the assigner is stale.
     async fn follow_servers(self) {
         let mut reader = ServerReader::default();
--- a/crates/oriolehoist_edge/src/process/shared.rs
+++ b/crates/oriolehoist_edge/src/process/shared.rs
@@ -99,6 +99,8 @@
     pub(super) evacuations_confirmed_at: AtomicU64,
     /// The latest known era of the store, if any response named one.
     store_era: watch::Sender<Option<ObservedEra>>,
+    /// Whether this daemon is the assigner.
+    assigner_role: watch::Sender<bool>,
     load_peers: Published<LoadPeers>,
     retry_budgets: Mutex<RetryBudgets<SmolStr>>,
     /// Requests that wait until their server's queue leaves room for more urgent ones.
@@ -157,6 +159,7 @@
             config_confirmed_at: AtomicU64::new(0),
             evacuations_confirmed_at: AtomicU64::new(0),
             store_era: watch::Sender::default(),
+            assigner_role: watch::Sender::default(),
             load_peers: Published::default(),
             retry_budgets: Mutex::default(),
             holds: Holds::default(),
@@ -271,6 +274,18 @@
         let _ = eras.wait_for(|observed| observed.is_some_and(|observed| observed.era > era)).await;
     }
 
+    /// Records whether this daemon is the assigner.
+    pub(crate) fn set_assigner_role(&self, held: bool) {
+        self.assigner_role.send_if_modified(|known| std::mem::replace(known, held) != held);
+    }
+
+    /// Waits until this daemon is the assigner.
+    pub(crate) async fn assigner_role(&self) {
+        let mut role = self.assigner_role.subscribe();
+        // The sender is never dropped.
+        let _ = role.wait_for(|held| *held).await;
+    }
+
     /// Records that a connection from a caller was opened.
     pub(crate) fn on_connection_opened(&self) {
         self.caller_connections.fetch_add(1, Ordering::Relaxed);
--- a/tests/users_platform/silent_connections.rs
+++ b/tests/users_platform/silent_connections.rs
@@ -86,6 +86,36 @@
     Ok(())
 }
 
+/// Guards against a silent watch of a daemon that has become the assigner, and whose renewals of the lease
+/// confirm a configuration that has changed.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_in_time_although_the_watch_of_a_new_assigner_is_silent()
+-> eyre::Result<()> {
+    let mut deployment = deployment(4, 2, 1).await?;
+    for _ in 0..4 {
+        // Until the watches of daemons that hear from the assigner have replaced shorter ones, and idle
+        // connections are closed.
+        sleep(SECOND * 10).await;
+        let assigner = assigner_index(&deployment);
+        for (index, daemon) in deployment.daemons.iter().enumerate() {
+            if index != assigner {
+                let ip = Some(daemon.peer_address.ip());
+                deployment.network.add_fault(ip, STORE_EDGE, Fault::StallOpenConnections);
+            }
+        }
+        deployment.daemons[assigner].stop().await?;
+        let in_force_after = time_until_in_force(&mut deployment).await;
+        println!("in force {in_force_after:?} later");
+        expect_that!(in_force_after, lt(CONFIG_BOUND));
+        deployment.network.clear_all_faults();
+        deployment.daemons[assigner].start()?;
+        deployment.daemons[assigner].wait_until_ready(SECOND * 12).await?;
+    }
+    clean_up(deployment);
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections_to_a_server_cost_no_more_than_one_request() -> eyre::Result<()> {
