Don't give up large responses of the store while they arrive

Seen: two daemons that restart beside an entry of another writer with a value of a megabyte, over links of 10 Mbit/s as the smallest machines have, serve nothing. Cause: a call to the store was lost if its response was not complete after 600 ms. Change: a response to a read that has begun to arrive is lost only if nothing arrives for 600 ms, or it is not complete 5 s later. That tells a slow link from a silent connection, which is noticed as soon as before. Writes and leases keep their time-out. The reader of responses has its own file. The store's stand-in sends its responses at a given rate for it.

--- a/crates/oriolehoist_edge/src/connection/client.rs
+++ b/crates/oriolehoist_edge/src/connection/client.rs
@@ -27,6 +27,23 @@
     pub(crate) max_body_bytes: u64,
 }
 
+/// How long to wait for a response.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResponseTimeout {
+    /// The maximum time until its first byte arrives.
+    pub(crate) first_byte: Millis,
+    /// The maximum time between two bytes after that.
+    pub(crate) gap: Millis,
+    /// The maximum time until it is complete.
+    pub(crate) complete: Millis,
+}
+
+impl From<Millis> for ResponseTimeout {
+    fn from(complete: Millis) -> ResponseTimeout {
+        ResponseTimeout { first_byte: complete, gap: complete, complete }
+    }
+}
+
 /// An HTTP client for other processes, with a pool of idle connections.
 #[derive(Debug)]
 pub(crate) struct HttpClient {
@@ -65,7 +82,7 @@
         connection: ClientConnection,
         to: SocketAddr,
         request: &HttpRequest,
-        max_wait: Millis,
+        max_wait: impl Into<ResponseTimeout>,
     ) -> Result<HttpResponse, CallError> {
         let mut progress = ExchangeProgress::default();
         let (response, connection) =
@@ -88,7 +105,7 @@
         connection: ClientConnection,
         to: SocketAddr,
         request: &HttpRequest,
-        max_wait: Millis,
+        max_wait: impl Into<ResponseTimeout>,
     ) -> Result<HttpResponse, CallError> {
         let received_at = connection.received_at();
         tokio::select! {
@@ -106,7 +123,7 @@
         mut connection: ClientConnection,
         to: SocketAddr,
         request: &HttpRequest,
-        max_wait: Millis,
+        max_wait: impl Into<ResponseTimeout>,
         expected: Option<ExpectedResponse<'_>>,
         progress: &mut ExchangeProgress,
     ) -> Result<(HttpResponse, Option<ClientConnection>), CallError> {
@@ -119,6 +136,8 @@
         }
         let message = encode_request(&request.method, &request.path, &headers, &request.body);
         let (sent_at, reused) = (self.clock.now(), connection.was_used());
+        let max_wait = max_wait.into();
+        connection.set_patience(max_wait);
         let received = connection.send(
             &request.method,
             message,
@@ -126,7 +145,7 @@
             expected,
             progress,
         );
-        let received = timeout(Duration::from(max_wait), received).await;
+        let received = timeout(Duration::from(max_wait.complete), received).await;
         match received.unwrap_or(Err(CallError::TimedOut)) {
             Ok(received) => Ok((received.response, received.reusable.then_some(connection))),
             Err(error) => {
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -1,9 +1,10 @@
 use {
+    crate::connection::{ResponseTimeout, response_reader::ResponseReader},
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     http::{HeaderName, HeaderValue, Method},
-    oriolehoist_exchange::{ConnectionHistory, Correlation, ExchangeName, ResponseId, Verdict},
-    oriolehoist_http1::{BodyError, BodyMemory, BodyReader, ResponseHead, parse_response_head},
+    oriolehoist_exchange::{ConnectionHistory, Correlation, ExchangeName},
+    oriolehoist_http1::BodyMemory,
     oriolehoist_port::HttpResponse,
     oriolehoist_time::{Clock, Millis},
     rustix::net::sockopt::{set_socket_linger, set_tcp_user_timeout},
@@ -16,23 +17,14 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpSocket, TcpStream},
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
-/// The maximum size of a response head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
 /// The maximum size of the response body to an order or a health check, in bytes.
 pub(crate) const MAX_CONTROL_BODY_BYTES: u64 = 256 << 10;
 /// The maximum size of any other response body, in bytes. The complete body is held in memory.
 pub(crate) const MAX_BODY_BYTES: u64 = 32 << 20;
-/// The maximum number of bytes that belong to no body: heads, also those of interim responses, the
-/// framing, and responses to other requests. They need no memory, but would keep a request waiting
-/// until its deadline.
-const MAX_OVERHEAD_BYTES: u64 = 256 << 10;
-/// How many such bytes are allowed for each byte of the body in addition. A chunk of one byte has a
-/// framing of five.
-const OVERHEAD_PER_BODY_BYTE: u64 = 8;
 /// The minimum free buffer space before a read, in bytes.
 const MIN_READ_CAPACITY: usize = 8 << 10;
 /// How long sent data may stay unacknowledged before the connection is considered broken.
@@ -101,6 +93,8 @@
     /// How many requests were sent on it.
     requests: u32,
     history: ConnectionHistory,
+    /// How long to wait for data, if that is limited.
+    patience: Option<ResponseTimeout>,
 }
 
 /// The number of connections that were opened.
@@ -180,6 +174,7 @@
                     number,
                     requests,
                     history,
+                    patience: None,
                 })
             }
             Ok(Err(error)) => Err(CallError::Connect(error)),
@@ -224,6 +219,11 @@
         self.received_at
     }
 
+    /// Limits how long the next responses may take to begin, and how long no data of them may arrive.
+    pub(crate) fn set_patience(&mut self, patience: ResponseTimeout) {
+        self.patience = Some(patience);
+    }
+
     /// Resets the connection, which discards data that has not been delivered yet.
     pub(crate) fn reset(self) {
         // If this fails, the connection is closed normally instead. No decision depends on the
@@ -246,7 +246,7 @@
         progress.earlier_requests = self.requests;
         progress.may_be_sent = true;
         self.requests += 1;
-        let ClientConnection { stream, buf, clock, received_at, history, .. } = self;
+        let ClientConnection { stream, buf, clock, received_at, history, patience, .. } = self;
         history.start(expected.map_or(Correlation::ByOrder, |expected| expected.correlation()));
         let (mut rx, mut tx) = stream.split();
         let mut remaining = message;
@@ -264,12 +264,19 @@
             if buf.capacity() - buf.len() < MIN_READ_CAPACITY {
                 buf.reserve(MIN_READ_CAPACITY);
             }
+            let max_silence = patience.map(|patience| match reader.received {
+                0 => patience.first_byte,
+                _ => patience.gap,
+            });
             let read = tokio::select! {
                 written = tx.write_buf(&mut remaining), if !remaining.is_empty() => {
                     written.map_err(CallError::Io)?;
                     continue;
                 }
                 read = rx.read_buf(buf) => read.map_err(CallError::Io)?,
+                () = sleep(max_silence.unwrap_or_default().into()), if max_silence.is_some() => {
+                    return Err(CallError::TimedOut);
+                }
             };
             *received_at = clock.now();
             reader.received += read as u64;
@@ -300,97 +307,3 @@
         }
     }
 }
-
-/// Reads a response incrementally.
-struct ResponseReader<'a> {
-    method: &'a Method,
-    max_body_bytes: u64,
-    expected: Option<ExpectedResponse<'a>>,
-    history: &'a mut ConnectionHistory,
-    progress: &'a mut ExchangeProgress,
-    partial: Option<(ResponseHead, BodyReader)>,
-    /// How many bytes were received for the request.
-    received: u64,
-    memory: BodyMemory,
-}
-
-type CompleteResponse = Option<(ResponseHead, Bytes)>;
-
-impl ResponseReader<'_> {
-    /// Processes the received input. Returns the response once it is complete.
-    fn advance(&mut self, buf: &mut BytesMut) -> Result<CompleteResponse, CallError> {
-        loop {
-            match self.partial.take() {
-                None => match parse_response_head(buf, MAX_HEAD_BYTES) {
-                    Ok(Some(head)) => {
-                        let length = head.body_length(self.method).map_err(|_| {
-                            CallError::InvalidResponse("ambiguous response framing")
-                        })?;
-                        let reader = BodyReader::new(length, self.max_body_bytes)
-                            .map_err(|_| CallError::InvalidResponse("response body too large"))?;
-                        self.partial = Some((head, reader));
-                    }
-                    Ok(None) => return Ok(None),
-                    Err(_) => return Err(CallError::InvalidResponse("malformed response head")),
-                },
-                Some((head, mut reader)) => match reader.advance(buf) {
-                    Ok(true) if self.is_own(&head) => {
-                        return Ok(Some((head, reader.into_bytes())));
-                    }
-                    Ok(true) => {}
-                    Ok(false) => {
-                        self.partial = Some((head, reader));
-                        return Ok(None);
-                    }
-                    Err(BodyError::TooLarge) => {
-                        return Err(CallError::Endless("a body is too large"));
-                    }
-                    Err(BodyError::Malformed) => {
-                        return Err(CallError::InvalidResponse("malformed response body"));
-                    }
-                },
-            }
-        }
-    }
-
-    /// Checks that a response that is not complete yet may go on.
-    fn check_length(&mut self) -> Result<(), CallError> {
-        let body = self.partial.as_ref().map(|(_, body)| body);
-        let (length, capacity) = body.map_or((0, 0), |body| (body.length(), body.capacity()));
-        let overhead = self.received.saturating_sub(length as u64);
-        match () {
-            () if !self.memory.grow_to(capacity) => {
-                Err(CallError::Endless("the bodies of responses need too much memory"))
-            }
-            () if overhead > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * length as u64 => {
-                Err(CallError::Endless("too many bytes that belong to no body"))
-            }
-            () => Ok(()),
-        }
-    }
-
-    /// Handles the end of the input, which completes a body without a declared length.
-    fn on_eof(&mut self) -> Result<CompleteResponse, CallError> {
-        match self.partial.take() {
-            Some((head, reader)) if reader.is_complete_at_eof() && self.is_own(&head) => {
-                Ok(Some((head, reader.into_bytes())))
-            }
-            Some(_) => Err(CallError::InvalidResponse("truncated response")),
-            None => Err(CallError::InvalidResponse("connection closed without a response")),
-        }
-    }
-
-    /// Returns whether a complete response is that to the request, and counts it if it is not.
-    fn is_own(&mut self, head: &ResponseHead) -> bool {
-        let Some(ExpectedResponse { headers, id, .. }) = self.expected else { return true };
-        let id = match head.headers.get(headers.id) {
-            Some(echoed) if Some(echoed) == id => ResponseId::Own,
-            Some(_) => ResponseId::Other,
-            None => ResponseId::Missing,
-        };
-        let is_refusal = head.headers.contains_key(headers.not_run);
-        let verdict = self.history.judge(id, is_refusal);
-        self.progress.skipped += u32::from(verdict == Verdict::Unexpected);
-        verdict == Verdict::Own
-    }
-}
--- a/crates/oriolehoist_edge/src/connection/mod.rs
+++ b/crates/oriolehoist_edge/src/connection/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod client_connection;
 mod idle_pool;
+mod response_reader;
 mod silence;
 
 pub(crate) use {
@@ -15,7 +16,7 @@
     backend_probe::ProbeRun,
     backend_warm_up::warm_up_policy,
     callers::serve_callers,
-    client::{HttpClient, HttpClientOptions},
+    client::{HttpClient, HttpClientOptions, ResponseTimeout},
     client_connection::{
         CallError, ClientConnection, ConnectionState, ExchangeProgress, ExpectedResponse,
         IdHeaders, MAX_BODY_BYTES, MAX_CONTROL_BODY_BYTES, ReceivedResponse,
--- a/crates/oriolehoist_edge/src/control/store.rs
+++ b/crates/oriolehoist_edge/src/control/store.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::{CallError, HttpClient, HttpClientOptions},
+        connection::{CallError, HttpClient, HttpClientOptions, ResponseTimeout},
         process::Shared,
     },
     derive_more::Display,
@@ -17,6 +17,9 @@
 const CALL_TIMEOUT: Millis = Millis(600);
 /// The maximum wait for the response to a watch after its duration has passed.
 const WATCH_RESPONSE_TIMEOUT: Millis = Millis(400);
+/// The maximum time in which a response that has begun has to arrive. A value of a megabyte takes 1.2 s
+/// over the smallest links, if nothing else uses them.
+const TRANSFER_TIMEOUT: Millis = Millis(5000);
 /// The maximum time to establish a connection.
 const CONNECT_TIMEOUT: Millis = Millis(400);
 /// How long an idle connection may be reused.
@@ -116,10 +119,7 @@
         let started_at = self.cx.clock.now();
         let mut trace =
             CallTrace { kind: request.kind(), started_at, ended_at: started_at, reused: None };
-        let wait = match &request {
-            StoreRequest::Watch { wait, .. } => *wait + WATCH_RESPONSE_TIMEOUT,
-            _ => CALL_TIMEOUT,
-        };
+        let wait = response_timeout(&request);
         let response = match request.era() {
             Some(era) => tokio::select! {
                 biased;
@@ -193,7 +193,7 @@
     async fn send(
         &self,
         request: &StoreRequest,
-        wait: Millis,
+        wait: ResponseTimeout,
         choice: ConnectionChoice,
         reused: &mut Option<bool>,
     ) -> Result<StoreResponse, StoreError> {
@@ -227,6 +227,16 @@
     }
 }
 
+/// Returns how long to wait for the response to a request. Those to reads may be large.
+fn response_timeout(request: &StoreRequest) -> ResponseTimeout {
+    let first_byte = match request {
+        StoreRequest::Watch { wait, .. } => *wait + WATCH_RESPONSE_TIMEOUT,
+        StoreRequest::Get(_) | StoreRequest::List { .. } => CALL_TIMEOUT,
+        _ => return CALL_TIMEOUT.into(),
+    };
+    ResponseTimeout { first_byte, gap: CALL_TIMEOUT, complete: first_byte + TRANSFER_TIMEOUT }
+}
+
 /// Returns the result of a request that refers to revisions of an earlier era.
 fn outdated(request: &StoreRequest) -> Result<StoreResponse, StoreError> {
     match request {
--- a/crates/oriolehoist_edge/src/control/stored_suspects.rs
+++ b/crates/oriolehoist_edge/src/control/stored_suspects.rs
@@ -21,6 +21,7 @@
 
 /// The key of the requests in quarantine. Only the assigner writes it.
 const SUSPECTS_KEY: &str = "oriolehoist/suspects";
+
 impl Control {
     /// Stores the requests in quarantine, if this daemon is the assigner and others were added.
     pub(super) fn store_suspects(&mut self, control: &ActorRef<Control>) {
--- a/crates/oriolehoist_testkit/src/users_platform/store.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/store.rs
@@ -13,7 +13,7 @@
         routing::{delete, get, post},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
-    futures::stream,
+    futures::{StreamExt, stream},
     serde::Deserialize,
     serde_json::{Value, json},
     std::{
@@ -29,6 +29,8 @@
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The size of the pieces of a body without end.
 const ENDLESS_PIECE_BYTES: usize = 16 << 10;
+/// The size of the pieces in which a body arrives over a slow link.
+const SLOW_PIECE_BYTES: usize = 64 << 10;
 /// The header that names the store's era in every response.
 const ERA_HEADER: &str = "store-era";
 
@@ -172,7 +174,7 @@
     request: Request,
     next: Next,
 ) -> Response {
-    let (unreachable, refused, endless) = {
+    let (unreachable, refused, endless, rate) = {
         let mut state = lock(&shared);
         state.request_count += 1;
         state.remove_expired();
@@ -180,7 +182,8 @@
         let reads_refused = state.faults.refused_readers.contains(&from.ip());
         let refused = state.faults.refused_callers.contains(&from.ip())
             || (reads_refused && request.method() == Method::GET);
-        (state.is_unreachable() || ignored, refused, state.faults.endless)
+        let StoreFaults { endless, bytes_per_second, .. } = state.faults;
+        (state.is_unreachable() || ignored, refused, endless, bytes_per_second)
     };
     if unreachable {
         hang().await;
@@ -190,11 +193,29 @@
         () if endless => endless_body().into_response(),
         () => next.run(request).await,
     };
+    if let Some(rate) = rate {
+        response = response.map(|body| slow_body(body, rate));
+    }
     let era = HeaderValue::from(lock(&shared).era);
     response.headers_mut().insert(ERA_HEADER, era);
     response
 }
 
+/// Lets a body arrive in pieces, at this rate.
+fn slow_body(body: Body, bytes_per_second: u32) -> Body {
+    let pieces = body.into_data_stream().flat_map(move |piece| {
+        let bytes = piece.unwrap_or_default();
+        let starts = (0..bytes.len()).step_by(SLOW_PIECE_BYTES);
+        let pieces =
+            starts.map(move |start| bytes.slice(start..bytes.len().min(start + SLOW_PIECE_BYTES)));
+        stream::iter(pieces.collect::<Vec<Bytes>>())
+    });
+    Body::from_stream(pieces.then(move |piece| async move {
+        sleep(Duration::from_secs(1) * piece.len() as u32 / bytes_per_second).await;
+        Ok::<Bytes, Infallible>(piece)
+    }))
+}
+
 fn endless_body() -> Body {
     let piece = Bytes::from(vec![b' '; ENDLESS_PIECE_BYTES]);
     Body::from_stream(stream::repeat_with(move || Ok::<Bytes, Infallible>(piece.clone())))
--- a/crates/oriolehoist_testkit/src/users_platform/store_state.rs
+++ b/crates/oriolehoist_testkit/src/users_platform/store_state.rs
@@ -28,6 +28,8 @@
     pub response_loss_rate: f64,
     /// What the store returns in place of the page after this key.
     pub page_after: Option<(String, PageFault)>,
+    /// How many bytes of a response arrive in a second, if the links of its callers are slow.
+    pub bytes_per_second: Option<u32>,
 }
 
 /// What the store returns in place of a page of a listing.
--- a/tests/users_platform/incomplete_lists.rs
+++ b/tests/users_platform/incomplete_lists.rs
@@ -52,6 +52,27 @@
     Ok(())
 }
 
+/// Guards against a page that is given up although it arrives, so that the list is never read: a link of
+/// 10 Mbit/s takes 1.2 s for a value of a megabyte.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_serve_although_a_page_of_the_servers_takes_long_to_arrive() -> eyre::Result<()> {
+    let mut deployment = deployment(2, 2, 2).await?;
+    deployment.store.set_page_size(2);
+    deployment.store.put("servers/R&D-gateway", &vec![0x5a; 1 << 20]);
+    let bytes_per_second = Some(1_250_000);
+    deployment.store.set_faults(StoreFaults { bytes_per_second, ..StoreFaults::default() });
+    deployment.daemons.iter_mut().for_each(Daemon::kill);
+    deployment.store.compact_history();
+    deployment.daemons.iter_mut().try_for_each(Daemon::start)?;
+    beat(&deployment, 6).await;
+    let load = Load::start(caller_addresses(&deployment), "slow")?;
+    sleep(SECOND * 2).await;
+    finish_and_check(&deployment, load, 0.98).await;
+    clean_up(deployment);
+    Ok(())
+}
+
 /// Guards against daemons that hold the values of a whole list in memory.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
