Keep the delay of a daemon that hears of an outage it has seen itself

Seen: reported of three deployments, requests were handled by an older version of the configuration than they had to be. A daemon whose own call has failed draws a delay, so that the fleet makes six calls a second. It drew another one when it heard that the store is away, and kept the longer one. The first calls of a large fleet were rare, and the store's return was noticed by few daemons, late. Change: a daemon that has a delay keeps it. Not mended: the daemon that notices first becomes the assigner, however small it is.

--- a/crates/oriolehoist_backoff/src/backoff.rs
+++ b/crates/oriolehoist_backoff/src/backoff.rs
@@ -190,8 +190,9 @@
             self.observe_answer(answered_at);
         }
         match self.is_away(now) {
-            true if !was_away => {
-                self.budget_at = self.budget_at.max(now + budget_delay(daemons, chance));
+            // A daemon that has a delay already, since its own call has failed, keeps it.
+            true if !was_away && self.budget_at <= now => {
+                self.budget_at = now + budget_delay(daemons, chance);
             }
             // The daemon whose call was answered reads for the others.
             false if was_away && self.answered_at > was_answered_at => {
--- a/tests/users_platform/store_outages.rs
+++ b/tests/users_platform/store_outages.rs
@@ -269,3 +269,36 @@
     })
     .await
 }
+
+/// Guards against a small daemon that becomes the assigner after an outage because none of the larger ones
+/// has learned that the store is back. On a tenth of a core it can't tell hundreds of daemons in time what
+/// has changed.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_daemon_becomes_the_assigner_after_an_outage_of_the_store() -> eyre::Result<()>
+{
+    const LARGEST: usize = 7;
+    let mut deployment = deployment(DAEMONS, 1, 1).await?;
+    for (index, daemon) in deployment.daemons.iter_mut().enumerate() {
+        let (share, link) = if index == LARGEST { (0.5, 200) } else { (0.1, 20) };
+        daemon.kill();
+        daemon.change_settings(&format!(
+            "[self.limits]\ncpu_share = {share}\ncores = 1\nlink_mbps = {link}\n"
+        ))?;
+        daemon.start()?;
+    }
+    sleep(SECOND * 8).await;
+    for outage in [Outage::Resets, Outage::Silent, Outage::NotListening] {
+        set_away(&deployment, outage, true).await?;
+        sleep(COUNTED).await;
+        let leads = |daemon: &Daemon| daemon.is_assigner();
+        expect_that!(deployment.daemons.iter().filter(|daemon| leads(daemon)).count(), eq(0));
+        set_away(&deployment, outage, false).await?;
+        sleep(SECOND * 5).await;
+        let assigner = deployment.daemons.iter().position(leads);
+        println!("{outage:?}: the assigner is {assigner:?}");
+        expect_that!(assigner, some(eq(LARGEST)), "{outage:?}");
+    }
+    clean_up(deployment);
+    Ok(())
+}
