Name the time-out of a connection's responses after its type

Cause: found when the change was read again. The field and the method had a name of their own for a value of type ResponseTimeout. Change: names only, no behaviour.

--- a/crates/oriolehoist_edge/src/connection/client.rs
+++ b/crates/oriolehoist_edge/src/connection/client.rs
@@ -137,7 +137,7 @@
         let message = encode_request(&request.method, &request.path, &headers, &request.body);
         let (sent_at, reused) = (self.clock.now(), connection.was_used());
         let max_wait = max_wait.into();
-        connection.set_patience(max_wait);
+        connection.set_response_timeout(max_wait);
         let received = connection.send(
             &request.method,
             message,
--- a/crates/oriolehoist_edge/src/connection/client_connection.rs
+++ b/crates/oriolehoist_edge/src/connection/client_connection.rs
@@ -94,7 +94,7 @@
     requests: u32,
     history: ConnectionHistory,
     /// How long to wait for data, if that is limited.
-    patience: Option<ResponseTimeout>,
+    response_timeout: Option<ResponseTimeout>,
 }
 
 /// The number of connections that were opened.
@@ -174,7 +174,7 @@
                     number,
                     requests,
                     history,
-                    patience: None,
+                    response_timeout: None,
                 })
             }
             Ok(Err(error)) => Err(CallError::Connect(error)),
@@ -220,8 +220,8 @@
     }
 
     /// Limits how long the next responses may take to begin, and how long no data of them may arrive.
-    pub(crate) fn set_patience(&mut self, patience: ResponseTimeout) {
-        self.patience = Some(patience);
+    pub(crate) fn set_response_timeout(&mut self, response_timeout: ResponseTimeout) {
+        self.response_timeout = Some(response_timeout);
     }
 
     /// Resets the connection, which discards data that has not been delivered yet.
@@ -246,7 +246,8 @@
         progress.earlier_requests = self.requests;
         progress.may_be_sent = true;
         self.requests += 1;
-        let ClientConnection { stream, buf, clock, received_at, history, patience, .. } = self;
+        let ClientConnection { stream, buf, clock, received_at, history, response_timeout, .. } =
+            self;
         history.start(expected.map_or(Correlation::ByOrder, |expected| expected.correlation()));
         let (mut rx, mut tx) = stream.split();
         let mut remaining = message;
@@ -264,9 +265,9 @@
             if buf.capacity() - buf.len() < MIN_READ_CAPACITY {
                 buf.reserve(MIN_READ_CAPACITY);
             }
-            let max_silence = patience.map(|patience| match reader.received {
-                0 => patience.first_byte,
-                _ => patience.gap,
+            let max_silence = response_timeout.map(|timeout| match reader.received {
+                0 => timeout.first_byte,
+                _ => timeout.gap,
             });
             let read = tokio::select! {
                 written = tx.write_buf(&mut remaining), if !remaining.is_empty() => {
