Show a crashing request that is never refused beside other callers

The case is a request of one caller that crashes each server that begins to run it, while other callers view the same page and are answered. All of them have the same fingerprint, as it has nothing that tells callers apart. Each answer clears the request of all its crashes, so three never add up, and the next server gets it.

The stand-ins gain a server that crashes at a request and comes back.

--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -328,6 +328,64 @@
         return response(200, signed, b"x" * self.reply_bytes)
 
 
+class CrashingServer(Server):
+    """A server that crashes when it begins to run a request with a certain path, and is back later under
+    a new id at the same address."""
+
+    CRASH_PATH = "/log/crash"
+    BACK_AFTER_S = 3
+    crashes = True
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.writers = set()
+        self.lives = 1
+        # When the request that crashes arrived, and from which address.
+        self.crashed = []
+        # Other requests that ran when the server crashed.
+        self.cut_off = []
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def answer(self, method, path, headers, body):
+        if self.is_crashing(path, headers):
+            if headers.get("x-expect-instance", self.name) == self.name:
+                await self.crash(headers.get("x-request-id", ""))
+                return b""
+        return await super().answer(method, path, headers, body)
+
+    def is_crashing(self, path, headers):
+        return self.crashes and path == self.CRASH_PATH
+
+    async def crash(self, request):
+        self.crashed.append((time.monotonic(), request))
+        self.cut_off.extend(self.work_on)
+        self.record.line(
+            f"server {self.name} crashes at {request}, with {len(self.work_on)} other requests running")
+        self.beats.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        asyncio.create_task(self.come_back())
+
+    async def come_back(self):
+        ip, port = self.address.split(":")
+        await asyncio.sleep(self.BACK_AFTER_S)
+        self.store.remove(f"servers/{self.name}")
+        self.lives += 1
+        self.name = f"{self.name.split('.')[0]}.{self.lives}"
+        self.running = self.waiting = self.seq = 0
+        self.work_on, self.room = {}, asyncio.Condition()
+        self.server = await asyncio.start_server(self.serve, ip, int(port), limit=1 << 20)
+        self.beats = asyncio.create_task(self.beat())
+        self.record.line(f"server {self.name} is back at {self.address}")
+
+
 def configuration():
     """The routes of sabra-lavoir, in the form of its op/config, with its limits."""
     columns = ["name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority",
@@ -357,6 +415,7 @@
         self.record, self.name, self.ip = record, name, ip
         self.front, self.ready, self.control, internal = ports
         self.process = None
+        self.started_at = 0.0
         settings = f"""grants = "invoke"
 [self]
 node_name = "{name}"
@@ -416,6 +475,7 @@
         with open(self.log, "a", encoding="utf-8") as log:
             self.process = subprocess.Popen(self.COMMAND, cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
                                             stdout=log, stderr=log)
+        self.started_at = time.monotonic()
         self.record.line(f"daemon {self.name} started")
 
     def send_signal(self, number):
@@ -460,7 +520,7 @@
         self.folder = tempfile.mkdtemp(prefix="oriolehoist-case-")
         self.daemons, self.servers = [], []
 
-    async def start(self, daemons=2, servers=3, wait=True):
+    async def start(self, daemons=2, servers=3, kind=Server):
         zones = ["sfax-medina", "sfax-sakiet"]
         self.store = Store(self.record)
         await self.store.start()
@@ -468,7 +528,7 @@
         for index in range(servers):
             for service, sharded in (("reservation", True), ("caretaker-desk", False)):
                 name = f"i-{service[:3]}{index}"
-                server = Server(self.record, self.store, name, service, zones[index % 2], sharded)
+                server = kind(self.record, self.store, name, service, zones[index % 2], sharded)
                 await server.start("127.0.0.1")
                 self.servers.append(server)
         # Daemons of two runs at the same time don't share addresses.
@@ -481,9 +541,8 @@
                             ports, self.store, ips[:3])
             daemon.start()
             self.daemons.append(daemon)
-        if wait:
-            for daemon in self.daemons:
-                await daemon.wait_ready()
+        for daemon in self.daemons:
+            await daemon.wait_ready()
 
     def ran(self, request):
         return sum(server.runs.count(request) for server in self.servers)
